Build the real node round the module

Cause: the module had only the simulator's adapter. The node is written on real sockets: one loop owns the module, a small pool keeps one attempt to one send, discovery is watched, SIGTERM drains. wire gains DecodeSettings so that the node shares the adapter's decoder.

Before: no node.

--- /dev/null
+++ b/cmd/ivylock/main.go
@@ -0,0 +1,37 @@
+// Command ivylock is one load-balancing proxy node. PROXY_CONFIG names its
+// configuration.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"barrowscale/internal/node"
+)
+
+const heapPart = 0.7 // of the memory limit: the rest is for stacks, the kernel's buffers and slack
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "ivylock:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return node.New(cfg).Run(ctx)
+}
--- /dev/null
+++ b/internal/node/clients.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"barrowscale/balance"
+)
+
+const maxPatience = time.Hour // a longer Request-Timeout-Ms is taken for a mistake
+
+// request is one try of a client, from its arrival to its final answer.
+type request struct {
+	balance.RequestArrived
+	method, uri, key string
+	body             []byte
+	deadline         time.Time
+	answer           chan answer // holds the one final answer
+	over             atomic.Bool // has its final answer, or its client is gone: nothing more goes out
+	attempts         []*attempt  // the loop's
+	out              int         // the loop's
+}
+
+// answer is the final answer to a client.
+type answer struct {
+	status  int
+	body    []byte
+	holdOff time.Duration
+}
+
+// badRequest is a request that is turned down before the module hears of it.
+type badRequest struct {
+	status int
+	why    string
+}
+
+func (e *badRequest) Error() string { return e.why }
+
+func bad(format string, args ...any) error {
+	return &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// ServeHTTP takes one request and waits for its final answer.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/up" {
+		if n.draining.Load() {
+			http.Error(w, "draining", http.StatusServiceUnavailable)
+		}
+		return
+	}
+	req, err := n.readRequest(w, r)
+	if err != nil {
+		status := http.StatusBadRequest
+		var b *badRequest
+		if errors.As(err, &b) {
+			status = b.status
+		}
+		http.Error(w, err.Error(), status)
+		return
+	}
+	n.post(req)
+	select {
+	case a := <-req.answer:
+		if a.holdOff > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		w.WriteHeader(a.status)
+		w.Write(a.body)
+	case <-r.Context().Done():
+		req.over.Store(true)
+		n.post(clientGone{req})
+	}
+}
+
+// readRequest checks a client's request against the protocol.
+func (n *Node) readRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
+	arrived := time.Now()
+	class, known := n.classes[r.Header.Get("Request-Class")]
+	if !known {
+		return nil, bad("unknown Request-Class")
+	}
+	method := http.MethodPost
+	if class.Effect == balance.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		w.Header().Set("Allow", method)
+		return nil, &badRequest{http.StatusMethodNotAllowed, "the class wants " + method}
+	}
+	id, key := r.Header.Get("Request-Id"), r.Header.Get("Idempotency-Key")
+	if id == "" {
+		return nil, bad("no Request-Id")
+	}
+	if (class.Effect == balance.Keyed) != (key != "") {
+		return nil, bad("Idempotency-Key goes with keyed classes")
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != class.Name ||
+		!strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
+		return nil, bad("the path does not begin with the class")
+	}
+	ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > maxPatience.Milliseconds() {
+		return nil, bad("bad Request-Timeout-Ms")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
+	}
+	if err != nil {
+		return nil, bad("body: %v", err)
+	}
+	if method == http.MethodGet && len(body) > 0 {
+		return nil, bad("a GET has no body")
+	}
+	hint, err := strconv.ParseInt(r.Header.Get("Work-Hint"), 10, 64)
+	hasHint := err == nil && hint > 0 && hint <= maxPatience.Microseconds()
+	if !hasHint {
+		hint = 0
+	}
+	deadline := arrived.Add(time.Duration(ms) * time.Millisecond)
+	return &request{
+		RequestArrived: balance.RequestArrived{ID: balance.RequestID(id), Class: class.Name,
+			Tenant: r.Header.Get("Tenant"), Key: r.URL.Query().Get("sid"), Patience: time.Until(deadline),
+			WorkHint: time.Duration(hint) * time.Microsecond, HasHint: hasHint,
+			Repeat: r.Header.Get("Client-Retry") == "1"},
+		method: method, uri: r.RequestURI, key: key, body: body, deadline: deadline, answer: make(chan answer, 1),
+	}, nil
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"barrowscale/balance"
+	"barrowscale/internal/wire"
+)
+
+const (
+	reservedSockets = 32 // listeners, discovery, peers, standard streams, the runtime's own
+	leastSockets    = 2 * reservedSockets
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    int64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	PeerListen, PeersAll    string
+	Peers                   []string // by node number, this node's own among them
+	Known                   List
+	Settings                balance.Settings
+}
+
+// LoadConfig reads and checks the configuration file.
+func LoadConfig(path string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("PROXY_CONFIG names no configuration file")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := ParseConfig(raw)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// ParseConfig reads and checks a configuration.
+func ParseConfig(raw []byte) (*Config, error) {
+	var in struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		PeersAll   string          `json:"peers_all"`
+		Known      json.RawMessage `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, err
+	}
+	seed, err := strconv.ParseUint(in.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Seed: int64(seed),
+		Cores: in.Limits.Cores, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
+		PeerListen: in.PeerListen, PeersAll: in.PeersAll, Peers: in.Peers}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if c.Cores <= 0 || c.MemoryMB <= 0 || c.Sockets < leastSockets {
+		return nil, fmt.Errorf("limits: want cores and memory_mb above 0 and at least %d sockets, have %v, %d and %d",
+			leastSockets, c.Cores, c.MemoryMB, c.Sockets)
+	}
+	if len(in.Known) > 0 {
+		if c.Known, err = parseList(in.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if len(in.Settings) == 0 {
+		return nil, errors.New("settings are missing")
+	}
+	if c.Settings, err = wire.DecodeSettings(in.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := c.Settings
+	if len(s.Classes) == 0 || s.ConnectTimeout <= 0 || s.ConnIdle <= 0 || s.MaxAttempts <= 0 {
+		return nil, errors.New("settings: want classes, and caps for connect_timeout_ns, conn_idle_ns and max_attempts")
+	}
+	if s.MayMessage && c.PeerListen != "" && s.Self >= len(c.Peers) {
+		return nil, fmt.Errorf("peers: node %d is not among %d peers", s.Self, len(c.Peers))
+	}
+	return c, nil
+}
+
+// backendSockets is the part of the descriptors that connections to backends
+// may take, clientSockets that of clients, which are more: each request at a
+// backend has its client's connection, and clients keep idle ones too.
+func (c *Config) backendSockets() int { return (c.Sockets - reservedSockets) * 2 / 5 }
+func (c *Config) clientSockets() int  { return c.Sockets - reservedSockets - c.backendSockets() }
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"fmt"
+	"net"
+
+	"barrowscale/balance"
+)
+
+const maxDatagram = 256
+
+// peers exchanges datagrams with the other nodes.
+type peers struct {
+	conn    net.PacketConn
+	addrs   []net.Addr // by node number
+	all     net.Addr
+	numbers map[string]int // by address
+}
+
+// openPeers gives nil where the configuration names no address to listen on.
+func openPeers(c *Config) (*peers, error) {
+	if c.PeerListen == "" || !c.Settings.MayMessage {
+		return nil, nil
+	}
+	p := &peers{numbers: map[string]int{}}
+	for i, addr := range append(c.Peers[:len(c.Peers):len(c.Peers)], c.PeersAll) {
+		a, err := net.ResolveUDPAddr("udp", addr)
+		if err != nil {
+			return nil, fmt.Errorf("peer %q: %w", addr, err)
+		}
+		if i == len(c.Peers) {
+			p.all = a
+			break
+		}
+		p.addrs = append(p.addrs, a)
+		p.numbers[a.String()] = i
+	}
+	conn, err := net.ListenPacket("udp", c.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	p.conn = conn
+	return p, nil
+}
+
+// receive passes on datagrams until the socket is closed. One from a
+// stranger, or too long, is dropped.
+func (p *peers) receive(post func(any)) {
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := p.conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		number, known := p.numbers[from.String()]
+		if !known || n > maxDatagram {
+			continue
+		}
+		post(balance.MessageReceived{From: number, Data: append([]byte(nil), buf[:n]...)})
+	}
+}
+
+// send may lose the message, as the network may.
+func (p *peers) send(m balance.SendMessage) {
+	if p == nil || len(m.Data) > maxDatagram || !m.ToAll && (m.To < 0 || m.To >= len(p.addrs)) {
+		return
+	}
+	to := p.all
+	if !m.ToAll {
+		to = p.addrs[m.To]
+	}
+	p.conn.WriteTo(m.Data, to)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -309,6 +309,20 @@
 	"none": balance.ReportNone, "probe": balance.ReportProbe, "answers": balance.ReportAnswers,
 }
 
+// DecodeSettings reads the settings by themselves, as a real node's
+// configuration holds them.
+func DecodeSettings(raw json.RawMessage) (balance.Settings, error) {
+	up, err := json.Marshal(map[string]any{"seed": 0, "profile_data": raw})
+	if err != nil {
+		return balance.Settings{}, err
+	}
+	h, err := decodeStart(up)
+	if err != nil {
+		return balance.Settings{}, err
+	}
+	return h.Start.Settings, nil
+}
+
 func decodeStart(raw json.RawMessage) (Happening, error) {
 	var e struct {
 		Seed    *json.Number `json:"seed"`
