Test the node over loopback; bound client connections and answers

Found by reading and by the tests: - a whole list marked every backend as gone for a moment, so an attempt at its first byte could end as never sent without need (loop.go follow): now only those missing from the list are closed; - nothing bounded client connections or the head of a backend's answer; - a request called off while it was being written was told as a failed connect, a fault of the backend; - a request taken after the end of a drain would have been lost.

--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -33,5 +34,9 @@
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return node.New(cfg).Run(ctx)
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("clients: %w", err)
+	}
+	return node.New(cfg).Run(ctx, listener)
 }
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -21,6 +21,7 @@
 
 const (
 	maxBody      = 64 << 10
+	maxAnswer    = 2 * maxBody            // with head and framing
 	idleMargin   = time.Second            // an idle connection is closed this long before the backend may close it
 	probeTimeout = 400 * time.Millisecond // for the answer, once the connection is up
 )
@@ -38,6 +39,7 @@
 // conn is a connection to a backend; it carries one request at a time.
 type conn struct {
 	net.Conn
+	limit     *io.LimitedReader // what r may still read: guards against an answer without end
 	r         *bufio.Reader
 	addr      string
 	startedAt int64 // of the process that it leads to, as far as known
@@ -212,7 +214,8 @@
 			}
 			return result{code: balance.ConnectFailed}
 		}
-		c = &conn{Conn: nc, r: bufio.NewReader(nc), addr: addr, startedAt: startedAt}
+		limit := &io.LimitedReader{R: nc}
+		c = &conn{Conn: nc, limit: limit, r: bufio.NewReader(limit), addr: addr, startedAt: startedAt}
 	}
 	if !mayWrite() {
 		p.put(b, c)
@@ -228,10 +231,13 @@
 	} else {
 		p.drop(c)
 	}
-	if res.code == balance.Reset && ctx.Err() != nil {
-		if res.code = balance.TimedOut; errors.Is(ctx.Err(), context.Canceled) {
-			res.code = balance.Cancelled
-		}
+	switch cancelled := errors.Is(ctx.Err(), context.Canceled); {
+	case res.code == balance.Reset && cancelled:
+		res.code = balance.Cancelled
+	case res.code == balance.Reset && ctx.Err() != nil:
+		res.code = balance.TimedOut
+	case res.code == balance.ConnectFailed && cancelled:
+		res.code = balance.Moot // called off before it was wholly written: no fault of the backend
 	}
 	return res
 }
@@ -245,6 +251,7 @@
 	if n, err := c.Write(out.Bytes()); err != nil && n < out.Len() {
 		return result{code: balance.ConnectFailed}, false // its last byte was never written: it has not run
 	}
+	c.limit.N = maxAnswer
 	resp, err := http.ReadResponse(c.r, req)
 	if err != nil {
 		return result{code: balance.Reset}, false
@@ -272,7 +279,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.connectTimeout+probeTimeout)
 	defer cancel()
 	req := newRequest(http.MethodGet, "/metrics/load", nil)
-	res := p.exchange(ctx, b, req, func() bool { return true })
+	res := p.exchange(ctx, b, req, func() bool { return !b.closed.Load() })
 	if res.code == balance.OK {
 		res.report = parseReport(string(res.body))
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -4,9 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +73,9 @@
 		if a.holdOff > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
 		}
+		if n.clients.crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 		w.WriteHeader(a.status)
 		w.Write(a.body)
@@ -134,3 +140,44 @@
 		method: method, uri: r.RequestURI, key: key, body: body, deadline: deadline, answer: make(chan answer, 1),
 	}, nil
 }
+
+// clientConns keeps the number of client connections within its budget, so
+// that there are always descriptors left to accept the next one: one in the
+// kernel's backlog already counts as accepted. It closes the connection that
+// has been idle longest, never one with a request; with none idle, answers
+// end their connections.
+type clientConns struct {
+	most int
+	mu   sync.Mutex
+	open int
+	idle []net.Conn // the longest idle first
+}
+
+func newClientConns(most int) *clientConns { return &clientConns{most: most} }
+
+// track is the server's ConnState hook.
+func (c *clientConns) track(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := slices.Index(c.idle, conn); i >= 0 {
+		c.idle = slices.Delete(c.idle, i, i+1)
+	}
+	switch state {
+	case http.StateNew:
+		c.open++
+	case http.StateIdle:
+		c.idle = append(c.idle, conn)
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	}
+	if c.open > c.most && len(c.idle) > 0 {
+		c.idle[0].Close() // the server then tells of StateClosed
+		c.idle = c.idle[1:]
+	}
+}
+
+func (c *clientConns) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open > c.most
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -97,6 +97,9 @@
 	if len(s.Classes) == 0 || s.ConnectTimeout <= 0 || s.ConnIdle <= 0 || s.MaxAttempts <= 0 {
 		return nil, errors.New("settings: want classes, and caps for connect_timeout_ns, conn_idle_ns and max_attempts")
 	}
+	if !s.AskForList {
+		return nil, errors.New("settings: membership_mode: only on_request is supported")
+	}
 	if s.MayMessage && c.PeerListen != "" && s.Self >= len(c.Peers) {
 		return nil, fmt.Errorf("peers: node %d is not among %d peers", s.Self, len(c.Peers))
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -20,7 +20,7 @@
 
 const (
 	eventQueue   = 1024
-	acceptMore   = 600 * time.Millisecond  // after SIGTERM: new connections still come for a while
+	acceptTime   = 600 * time.Millisecond  // after SIGTERM: new connections still come for a while
 	drainTime    = 3200 * time.Millisecond // after SIGTERM: everything is answered by then
 	reapInterval = time.Second
 )
@@ -34,13 +34,17 @@
 	start     time.Time
 	events    chan any
 	done      chan struct{} // closed when the loop has ended
-	draining  atomic.Bool
+	draining  atomic.Bool   // shared with the handlers
+	closed    bool          // at the end of a drain: all that still comes is refused
 	requests  map[balance.RequestID]*request
 	backends  map[balance.ServerID]*backend
 	ids       map[string]balance.ServerID // by discovery's name
+	clients   *clientConns
 	pool      *pool
 	discovery *discovery
 	peers     *peers
+
+	acceptMore time.Duration // acceptTime, but in tests
 }
 
 // attempt is one send of a request to one backend.
@@ -68,7 +72,7 @@
 	n := &Node{cfg: cfg, classes: map[string]balance.Class{}, module: balance.New(cfg.Settings, cfg.Seed),
 		start: time.Now(), events: make(chan any, eventQueue), done: make(chan struct{}),
 		requests: map[balance.RequestID]*request{}, backends: map[balance.ServerID]*backend{},
-		ids: map[string]balance.ServerID{}, pool: newPool(cfg)}
+		ids: map[string]balance.ServerID{}, clients: newClientConns(cfg.clientSockets()), pool: newPool(cfg), acceptMore: acceptTime}
 	for _, c := range cfg.Settings.Classes {
 		n.classes[c.Name] = c
 	}
@@ -76,13 +80,10 @@
 	return n
 }
 
-// Run serves until ctx ends, then drains: it goes on accepting while new
+// Run serves clients on listener until ctx ends, then drains: it goes on accepting while new
 // connections may still come, answers all that it has taken, and returns.
-func (n *Node) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", n.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("clients: %w", err)
-	}
+func (n *Node) Run(ctx context.Context, listener net.Listener) error {
+	var err error
 	if n.peers, err = openPeers(n.cfg); err != nil {
 		return err
 	}
@@ -94,7 +95,7 @@
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	go n.loop(loopCtx)
 	// No time-outs: one would cut off a request that has been taken.
-	server := &http.Server{Handler: n, MaxHeaderBytes: 16 << 10}
+	server := &http.Server{Handler: n, MaxHeaderBytes: 16 << 10, ConnState: n.clients.track}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -113,7 +114,7 @@
 	end := time.Now().Add(drainTime)
 	n.draining.Store(true)
 	server.SetKeepAlivesEnabled(false)
-	time.Sleep(acceptMore)
+	time.Sleep(n.acceptMore)
 	fail := time.AfterFunc(time.Until(end), func() { n.post(failAll{}) })
 	defer fail.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(200*time.Millisecond))
@@ -140,6 +141,7 @@
 
 func (n *Node) loop(ctx context.Context) {
 	defer close(n.done)
+	defer n.discovery.subscribe(false)
 	reap := time.NewTicker(reapInterval)
 	defer reap.Stop()
 	for {
@@ -169,6 +171,7 @@
 	case listNews:
 		n.follow(e)
 	case failAll:
+		n.closed = true
 		for _, r := range n.requests {
 			if n.finish(r, answer{status: http.StatusBadGateway}) {
 				n.handle(balance.RequestAbandoned{ID: r.ID})
@@ -185,7 +188,7 @@
 		r.answer <- answer{status: http.StatusConflict} // the one that has the id is not touched
 		return
 	}
-	if len(n.requests) >= min(n.cfg.Settings.MaxOpen, n.cfg.clientSockets()) {
+	if n.closed || len(n.requests) >= min(n.cfg.Settings.MaxOpen, n.cfg.clientSockets()) {
 		r.answer <- answer{status: http.StatusServiceUnavailable} // as the settings say: before it reaches the module
 		return
 	}
@@ -231,11 +234,7 @@
 	}
 	n.discovery.version = e.list.Generation
 	update := balance.ListUpdate{Kind: e.kind, Version: e.list.Generation}
-	if e.kind != balance.ListChanges {
-		for _, b := range n.backends {
-			b.closed.Store(true)
-		}
-	}
+	listed := map[balance.ServerID]bool{}
 	for _, entry := range e.list.Instances {
 		id, state := n.idOf(entry.InstanceID), lifecycles[entry.Lifecycle]
 		b := n.backends[id]
@@ -244,6 +243,7 @@
 			n.backends[id] = b
 			n.pool.add(b)
 		}
+		listed[id] = true
 		if b.closed.Store(state != balance.Ready); state != balance.Gone {
 			n.pool.update(b, entry.HostPort, entry.StartedAtMs)
 		}
@@ -251,7 +251,10 @@
 			Cell: entry.Cell, State: state, Size: entry.Weight,
 			StartedAt: time.Duration(entry.StartedAtMs) * time.Millisecond})
 	}
-	for _, b := range n.backends {
+	for id, b := range n.backends {
+		if e.kind != balance.ListChanges && !listed[id] {
+			b.closed.Store(true)
+		}
 		if b.closed.Load() {
 			n.pool.closeIdle(b)
 		}
