Close connections with their answers in a drain; notice a silent discovery in time

Cause, by reading: SetKeepAlivesEnabled(false) closes idle client connections at once and can cut off a request that net/http has just read (it marks a connection active only after reading the head): answers now carry Connection: close instead.

--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"math"
 	"net"
 	"os"
@@ -38,5 +39,6 @@
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
+	log.Printf("%s serves on %s", cfg.Name, listener.Addr())
 	return node.New(cfg).Run(ctx, listener)
 }
--- /dev/null
+++ b/cmd/ivylock/main_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestMain lets the tests start this program as a process of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("IVYLOCK_TEST_RUN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func command(config string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "IVYLOCK_TEST_RUN=1", "PROXY_CONFIG="+config)
+	return c
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestABadConfigurationEndsItWithOneLine(t *testing.T) {
+	for name, config := range map[string]string{
+		"not named": "", "missing": filepath.Join(t.TempDir(), "none"), "malformed": write(t, "{"), "empty": write(t, "{}"),
+	} {
+		out, err := command(config).CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() == 0 {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+		if strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), "ivylock: ") {
+			t.Errorf("%s: printed %q", name, out)
+		}
+	}
+}
+
+func TestItServesAndEndsOnTerm(t *testing.T) {
+	c := command(write(t, `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":{"balancers":1,"membership_mode":"on_request",
+		"caps":{"conn_idle_ns":60000000000,"connect_timeout_ns":250000000,"max_attempts":4,"most_held":100},
+		"classes":[{"name":"clip","effect":"retryable","aim_ns":600000000,"give_up_ns":2000000000,"importance":1}]}}`))
+	log, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(log).ReadString('\n')
+	_, addr, found := strings.Cut(strings.TrimSpace(line), " serves on ")
+	if err != nil || !found {
+		c.Process.Kill()
+		t.Fatalf("it said %q, %v", line, err)
+	}
+	resp, err := http.Get("http://" + addr + "/up")
+	if err != nil {
+		t.Error(err)
+	} else if resp.Body.Close(); resp.StatusCode != http.StatusOK {
+		t.Errorf("/up: %s", resp.Status)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Error(err)
+	}
+	if err := c.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -73,7 +73,7 @@
 		if a.holdOff > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
 		}
-		if n.clients.crowded() {
+		if n.draining.Load() || n.clients.crowded() {
 			w.Header().Set("Connection", "close")
 		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	watchHold    = 20 * time.Second      // how long one call of a watch may wait for news
-	callTimeout  = 3 * time.Second       // beyond its hold; discovery itself gives up sooner
-	watchPause   = 20 * time.Millisecond // between calls of a watch, which ends after 200 ms without one
+	watchHold    = 10 * time.Second        // how long one call of a watch may wait for news: one call more costs nothing
+	callTimeout  = 2200 * time.Millisecond // beyond its hold; discovery itself gives up after 2 s
+	watchPause   = 20 * time.Millisecond   // between calls of a watch, which ends after 200 ms without one
 	maxListBytes = 4 << 20
 )
 
@@ -146,6 +146,8 @@
 	return balance.ListChanges
 }
 
+// call makes one call. Its time-out guards against a discovery that has gone
+// silent: what it would have told counts as told 2 s after the hold.
 func (d *discovery) call(ctx context.Context, query string, hold time.Duration) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+callTimeout)
 	defer cancel()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -110,10 +110,11 @@
 
 // drain ends the service. http.Server.Shutdown closes the listener at once,
 // which would reset connections that are still coming, so it has to wait.
+// Until then connections end with their next answer: closing idle ones at once
+// could cut off a request that the server has just read.
 func (n *Node) drain(server *http.Server) error {
 	end := time.Now().Add(drainTime)
 	n.draining.Store(true)
-	server.SetKeepAlivesEnabled(false)
 	time.Sleep(n.acceptMore)
 	fail := time.AfterFunc(time.Until(end), func() { n.post(failAll{}) })
 	defer fail.Stop()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -109,6 +109,9 @@
 		return 0, "", nil, err
 	}
 	defer resp.Body.Close()
+	if resp.Close { // the client library takes the header out
+		resp.Header.Set("Connection", "close")
+	}
 	raw, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(raw), resp.Header, err
 }
@@ -403,7 +406,10 @@
 	n.acceptMore = 2 * time.Second
 	answers := make(chan int, 2)
 	ask := func(id string) {
-		status, _, _, _ := n.ask(context.Background(), "clip", id, time.Minute)
+		status, _, header, _ := n.ask(context.Background(), "clip", id, time.Minute)
+		if header.Get("Connection") != "close" {
+			t.Errorf("%s: the connection was to be kept", id)
+		}
 		answers <- status
 	}
 	go ask("before")
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -195,6 +195,8 @@
 		case 2:
 			fmt.Fprint(w, `{"generation":`) // malformed: a failed call
 		case 3:
+			<-r.Context().Done() // silent
+		case 4:
 			fmt.Fprintf(w, `{"generation":9,"reset":true,"instances":[{"instanceId":"s-9","hostPort":%q,"zone":"z","lifecycle":"up"}]}`, b.addr)
 		default:
 			<-r.Context().Done()
@@ -202,7 +204,7 @@
 	}))
 	t.Cleanup(d.Close) // after the node, whose watch it holds
 	n := startNode(t, testConfig(t, d.Listener.Addr().String()))
-	for i, want := range []string{"from=7&hold_ms=0", "from=7&hold_ms=0", "from=7&hold_ms=0", "from=9&hold_ms=20000"} {
+	for i, want := range []string{"from=7&hold_ms=0", "from=7&hold_ms=0", "from=7&hold_ms=0", "from=7&hold_ms=0", "from=9&hold_ms=10000"} {
 		select {
 		case got := <-calls:
 			if got != want {
