Let silent client connections make room for new ones

Cause, by reading: a connection that never sent a request was never closed, so silent clients could take all descriptors, and dials to backends would have failed for want of them. The longest silent one now goes once the budget is spent, but none that is younger than a second, as its request may be on its way.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -144,35 +144,41 @@
 // clientConns keeps the number of client connections within its budget, so
 // that there are always descriptors left to accept the next one: one in the
 // kernel's backlog already counts as accepted. It closes the connection that
-// has been idle longest, never one with a request; with none idle, answers
-// end their connections.
+// has been silent longest, be it between requests or before its first one; one
+// that fell silent just now may have a request on its way and is spared. With
+// none to close, answers end their connections.
 type clientConns struct {
-	most int
-	mu   sync.Mutex
-	open int
-	idle []net.Conn // the longest idle first
+	most   int
+	spare  time.Duration // how long a silent connection is left alone
+	mu     sync.Mutex
+	open   int
+	silent []silentConn // the longest silent first
 }
 
-func newClientConns(most int) *clientConns { return &clientConns{most: most} }
+type silentConn struct {
+	net.Conn
+	since time.Time
+}
+
+func newClientConns(most int) *clientConns { return &clientConns{most: most, spare: time.Second} }
 
 // track is the server's ConnState hook.
 func (c *clientConns) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if i := slices.Index(c.idle, conn); i >= 0 {
-		c.idle = slices.Delete(c.idle, i, i+1)
-	}
+	c.silent = slices.DeleteFunc(c.silent, func(s silentConn) bool { return s.Conn == conn })
 	switch state {
 	case http.StateNew:
 		c.open++
+		c.silent = append(c.silent, silentConn{conn, time.Now()})
 	case http.StateIdle:
-		c.idle = append(c.idle, conn)
+		c.silent = append(c.silent, silentConn{conn, time.Now()})
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 	}
-	if c.open > c.most && len(c.idle) > 0 {
-		c.idle[0].Close() // the server then tells of StateClosed
-		c.idle = c.idle[1:]
+	if state == http.StateNew && c.open > c.most && time.Since(c.silent[0].since) >= c.spare {
+		c.silent[0].Close() // the server then tells of StateClosed
+		c.silent = c.silent[1:]
 	}
 }
 
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -239,29 +240,48 @@
 	}
 }
 
-func TestClientConnectionsOverBudgetCloseTheLongestIdle(t *testing.T) {
+// Guards against silent clients that take all descriptors, and against cutting
+// off a connection that has just come and may have a request on its way.
+func TestClientConnectionsOverBudgetCloseTheLongestSilent(t *testing.T) {
 	c := newClientConns(2)
 	var conns []net.Conn
-	for range 3 {
+	for range 5 {
 		conn, other := net.Pipe()
 		defer other.Close()
 		conns = append(conns, conn)
 	}
-	closed := func(i int) bool { return conns[i].SetDeadline(time.Time{}) != nil }
-	for _, conn := range conns[:2] {
-		c.track(conn, http.StateNew)
-		c.track(conn, http.StateActive)
+	check := func(when string, want ...int) {
+		t.Helper()
+		var got []int
+		for i, conn := range conns {
+			if conn.SetDeadline(time.Time{}) != nil {
+				got = append(got, i)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: closed %v, want %v", when, got, want)
+		}
 	}
-	c.track(conns[1], http.StateIdle)
+	c.track(conns[0], http.StateNew)
+	c.track(conns[0], http.StateActive)
+	c.track(conns[1], http.StateNew) // sends nothing
 	c.track(conns[0], http.StateIdle)
 	c.track(conns[2], http.StateNew)
-	if closed(0) || !closed(1) || closed(2) {
-		t.Errorf("closed: %v %v %v", closed(0), closed(1), closed(2))
-	}
-	if c.track(conns[0], http.StateActive); !c.crowded() {
+	check("all of them fresh")
+	if !c.crowded() {
 		t.Error("not crowded with one too many")
 	}
-	if c.track(conns[1], http.StateClosed); c.crowded() {
+	c.spare = 0
+	c.track(conns[3], http.StateNew)
+	check("one that never sent a request", 1)
+	c.track(conns[1], http.StateClosed)
+	c.track(conns[3], http.StateActive)
+	c.track(conns[4], http.StateNew)
+	check("one between requests", 0, 1)
+	for _, conn := range []net.Conn{conns[0], conns[2]} {
+		c.track(conn, http.StateClosed)
+	}
+	if c.crowded() {
 		t.Error("still crowded")
 	}
 }
