--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -94,8 +94,8 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := c.Settings
-	if len(s.Classes) == 0 || s.ConnectTimeout <= 0 || s.ConnIdle <= 0 || s.MaxAttempts <= 0 {
-		return nil, errors.New("settings: want classes, and caps for connect_timeout_ns, conn_idle_ns and max_attempts")
+	if len(s.Classes) == 0 || s.ConnectTimeout <= 0 || s.ConnIdle <= 0 || s.MaxAttempts <= 0 || s.MaxOpen <= 0 {
+		return nil, errors.New("settings: want classes, and caps for connect_timeout_ns, conn_idle_ns, max_attempts and most_held")
 	}
 	if !s.AskForList {
 		return nil, errors.New("settings: membership_mode: only on_request is supported")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -72,7 +72,8 @@
 	n := &Node{cfg: cfg, classes: map[string]balance.Class{}, module: balance.New(cfg.Settings, cfg.Seed),
 		start: time.Now(), events: make(chan any, eventQueue), done: make(chan struct{}),
 		requests: map[balance.RequestID]*request{}, backends: map[balance.ServerID]*backend{},
-		ids: map[string]balance.ServerID{}, clients: newClientConns(cfg.clientSockets()), pool: newPool(cfg), acceptMore: acceptTime}
+		ids: map[string]balance.ServerID{}, clients: newClientConns(cfg.clientSockets()), pool: newPool(cfg),
+		acceptMore: acceptTime}
 	for _, c := range cfg.Settings.Classes {
 		n.classes[c.Name] = c
 	}
@@ -80,8 +81,9 @@
 	return n
 }
 
-// Run serves clients on listener until ctx ends, then drains: it goes on accepting while new
-// connections may still come, answers all that it has taken, and returns.
+// Run serves clients on listener until ctx ends, then drains: it goes on
+// accepting while new connections may still come, answers all that it has
+// taken, and returns.
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
 	var err error
 	if n.peers, err = openPeers(n.cfg); err != nil {
@@ -313,6 +315,7 @@
 	}
 }
 
+// give carries out a final answer of the module.
 func (n *Node) give(id balance.RequestID, a answer) {
 	if r := n.requests[id]; r != nil {
 		n.finish(r, a)
@@ -320,6 +323,7 @@
 	}
 }
 
+// send starts an attempt. Its outcome comes back as an attemptDone, always.
 func (n *Node) send(s balance.Send) {
 	r, b := n.requests[s.ID], n.backends[s.Server]
 	if r == nil || b == nil {
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -35,6 +35,7 @@
 		"unknown effect":   strings.Replace(good, "fragile", "frail", 1),
 		"malformed known":  strings.Replace(good, `"generation":7`, `"generation":"x"`, 1),
 		"no time-out":      strings.Replace(good, `"connect_timeout_ns":250000000`, `"connect_timeout_ns":0`, 1),
+		"holds nothing":    strings.Replace(good, `"most_held":20000`, `"most_held":0`, 1),
 		"lists are pushed": strings.Replace(good, "on_request", "pushed", 1),
 	} {
 		if _, err := ParseConfig([]byte(bad)); err == nil {
