Reload discovery on SIGHUP; refuse requests that can be read in two ways

Seen: on the untouched build SIGHUP ended the process (exit 129), as nobody asked for the signal; and 34 requests hidden in bodies were sent on. net/http drops Content-Length beside Transfer-Encoding (readRequest believed what was left) and reads what follows the chunks as a request. Ruled out: passing on chunks with a length of our own, as clients only ever send Content-Length; a version kept over a reload, as two addresses need not count alike: the new watch begins from the start. Any Transfer-Encoding, HTTP/1.0 and repeated headers get 400; malformed requests end their connection; a body that is said to be too large gets its 413 before it is read.

--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -27,6 +27,8 @@
 }
 
 func run() error {
+	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read after it
+	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
 	if err != nil {
 		return err
@@ -40,5 +42,22 @@
 		return fmt.Errorf("clients: %w", err)
 	}
 	log.Printf("%s serves on %s", cfg.Name, listener.Addr())
-	return node.New(cfg).Run(ctx, listener)
+	n := node.New(cfg)
+	go func() {
+		for range hup {
+			reload(n)
+		}
+	}()
+	return n.Run(ctx, listener)
+}
+
+// reload reads the configuration again. A malformed one changes nothing.
+func reload(n *node.Node) {
+	cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
+	if err != nil {
+		log.Printf("not reloaded: %v", err)
+		return
+	}
+	n.Reload(cfg)
+	log.Printf("reloaded: discovery is at %s", cfg.Discovery)
 }
--- a/cmd/ivylock/main_test.go
+++ b/cmd/ivylock/main_test.go
@@ -51,11 +51,14 @@
 	}
 }
 
-func TestItServesAndEndsOnTerm(t *testing.T) {
-	c := command(write(t, `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+// Guards against a SIGHUP that ends the program, also with a file that can't be read.
+func TestItServesReloadsAndEndsOnTerm(t *testing.T) {
+	const good = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
 		"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":{"balancers":1,"membership_mode":"on_request",
 		"caps":{"conn_idle_ns":60000000000,"connect_timeout_ns":250000000,"max_attempts":4,"most_held":100},
-		"classes":[{"name":"clip","effect":"retryable","aim_ns":600000000,"give_up_ns":2000000000,"importance":1}]}}`))
+		"classes":[{"name":"clip","effect":"retryable","aim_ns":600000000,"give_up_ns":2000000000,"importance":1}]}}`
+	path := write(t, good)
+	c := command(path)
 	log, err := c.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -63,11 +66,30 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	line, err := bufio.NewReader(log).ReadString('\n')
-	_, addr, found := strings.Cut(strings.TrimSpace(line), " serves on ")
-	if err != nil || !found {
-		c.Process.Kill()
-		t.Fatalf("it said %q, %v", line, err)
+	lines := bufio.NewReader(log)
+	said := func(mark string) string {
+		t.Helper()
+		line, err := lines.ReadString('\n')
+		_, rest, found := strings.Cut(strings.TrimSpace(line), mark)
+		if err != nil || !found {
+			c.Process.Kill()
+			t.Fatalf("it said %q, %v; want %q", line, err, mark)
+		}
+		return rest
+	}
+	addr := said(" serves on ")
+	for _, step := range []struct{ config, mark string }{
+		{strings.Replace(good, "127.0.0.1:1", "127.0.0.1:2", 1), " reloaded: discovery is at 127.0.0.1:2"},
+		{"{", " not reloaded: "},
+		{good, " reloaded: discovery is at 127.0.0.1:1"},
+	} {
+		if err := os.WriteFile(path, []byte(step.config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		said(step.mark)
 	}
 	resp, err := http.Get("http://" + addr + "/up")
 	if err != nil {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -51,6 +51,14 @@
 
 // ServeHTTP takes one request and waits for its final answer.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		// Guards against a request hidden in the body of another: net/http
+		// forgets a Content-Length beside a Transfer-Encoding, and what follows
+		// the chunks would be read as the next request.
+		w.Header().Set("Connection", "close")
+		http.Error(w, "a body is framed by Content-Length, in HTTP/1.1", http.StatusBadRequest)
+		return
+	}
 	if r.URL.Path == "/up" {
 		if n.draining.Load() {
 			http.Error(w, "draining", http.StatusServiceUnavailable)
@@ -64,6 +72,7 @@
 		if errors.As(err, &b) {
 			status = b.status
 		}
+		w.Header().Set("Connection", "close") // nothing that follows it is believed
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -88,6 +97,11 @@
 // readRequest checks a client's request against the protocol.
 func (n *Node) readRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
 	arrived := time.Now()
+	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key"} {
+		if len(r.Header.Values(name)) > 1 {
+			return nil, bad("%s stands there twice", name)
+		}
+	}
 	class, known := n.classes[r.Header.Get("Request-Class")]
 	if !known {
 		return nil, bad("unknown Request-Class")
@@ -115,6 +129,9 @@
 	if err != nil || ms <= 0 || ms > maxPatience.Milliseconds() {
 		return nil, bad("bad Request-Timeout-Ms")
 	}
+	if r.ContentLength > maxBody { // before any of it is read
+		return nil, &badRequest{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -77,6 +77,7 @@
 type listNews struct {
 	kind balance.ListKind
 	list List
+	from *discovery // nil: from the configuration
 }
 
 // discovery asks for the list and watches it. Its methods are for the loop;
@@ -86,14 +87,23 @@
 	client  *http.Client
 	post    func(any)
 	version uint64
+	ctx     context.Context // of all calls
+	end     context.CancelFunc
 	stop    context.CancelFunc // of the watch that runs, if any
 }
 
 func newDiscovery(addr string, version uint64, post func(any)) *discovery {
-	return &discovery{base: "http://" + addr + "/discovery/hosts", post: post, version: version,
+	ctx, end := context.WithCancel(context.Background())
+	return &discovery{base: "http://" + addr + "/discovery/hosts", post: post, version: version, ctx: ctx, end: end,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4}}}
 }
 
+// close ends all calls and gives up their connections.
+func (d *discovery) close() {
+	d.end()
+	d.client.CloseIdleConnections()
+}
+
 // subscribe starts or ends the watch. One that runs already goes on: its
 // next answer, or its failure, is the answer to the new call too.
 func (d *discovery) subscribe(on bool) {
@@ -102,7 +112,7 @@
 		d.stop = nil
 	}
 	if on && d.stop == nil {
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(d.ctx)
 		d.stop = cancel
 		go d.watch(ctx, d.version)
 	}
@@ -118,11 +128,11 @@
 			return
 		}
 		if err != nil {
-			d.post(listNews{kind: balance.ListFailed})
+			d.post(listNews{kind: balance.ListFailed, from: d})
 			return
 		}
 		version = list.Generation
-		d.post(listNews{kind: kindOf(list), list: list})
+		d.post(listNews{kind: kindOf(list), list: list, from: d})
 		time.Sleep(watchPause) // guards against a busy loop if discovery answers at once
 	}
 }
@@ -130,12 +140,12 @@
 // fetch asks for the whole list once.
 func (d *discovery) fetch() {
 	go func() {
-		list, err := d.call(context.Background(), "", 0)
+		list, err := d.call(d.ctx, "", 0)
 		if err != nil {
-			d.post(listNews{kind: balance.ListFailed})
+			d.post(listNews{kind: balance.ListFailed, from: d})
 			return
 		}
-		d.post(listNews{kind: kindOf(list), list: list})
+		d.post(listNews{kind: kindOf(list), list: list, from: d})
 	}()
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -65,6 +65,7 @@
 		elapsed time.Duration
 	}
 	failAll struct{}
+	reload  struct{ discovery string }
 )
 
 // New makes a node from its configuration.
@@ -128,6 +129,18 @@
 	return nil
 }
 
+// Reload takes what may change while the node serves: discovery's address.
+func (n *Node) Reload(cfg *Config) { n.post(reload{cfg.Discovery}) }
+
+// move turns to discovery at another address at once. What still comes from
+// the old one is ignored. The versions of the two need not be related, so the
+// watch begins from the start, with the whole list.
+func (n *Node) move(addr string) {
+	n.discovery.close()
+	n.discovery = newDiscovery(addr, 0, n.post)
+	n.discovery.subscribe(true)
+}
+
 // post hands something to the loop; it gives up once the loop has ended.
 func (n *Node) post(e any) {
 	select {
@@ -144,7 +157,7 @@
 
 func (n *Node) loop(ctx context.Context) {
 	defer close(n.done)
-	defer n.discovery.subscribe(false)
+	defer func() { n.discovery.close() }()
 	reap := time.NewTicker(reapInterval)
 	defer reap.Stop()
 	for {
@@ -172,7 +185,11 @@
 	case attemptDone:
 		n.ended(e)
 	case listNews:
-		n.follow(e)
+		if e.from == nil || e.from == n.discovery { // guards against news of an address that was left
+			n.follow(e)
+		}
+	case reload:
+		n.move(e.discovery)
 	case failAll:
 		n.closed = true
 		for _, r := range n.requests {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,8 +13,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"barrowscale/balance"
 )
 
 // patience bounds what a test waits for; nothing that passes takes nearly so long.
@@ -454,3 +458,107 @@
 		t.Errorf("Run: %v", err)
 	}
 }
+
+// send writes raw bytes on a connection of its own and gives what comes back
+// until the node closes it, or nothing more comes for a while.
+func (n *running) send(t *testing.T, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, text) // may break off: the node may close before it is all written
+	raw, err := io.ReadAll(c)
+	if ne := net.Error(nil); errors.As(err, &ne) && ne.Timeout() {
+		t.Errorf("%.60q: the connection was not closed", text)
+	}
+	return string(raw)
+}
+
+// Guards against a request hidden in the body of another, and against two
+// readings of one request.
+func TestAmbiguousRequestsAreRefusedAndEndTheirConnection(t *testing.T) {
+	b := newRawBackend(t, func(c net.Conn, r *http.Request) bool { return reply(c, "200 OK", "") })
+	n := startNode(t, testConfig(t, closedAddr(t), b.addr))
+	head := func(id string) string {
+		return "POST /order HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 1000\r\n"
+	}
+	hidden := head("hidden") + "Content-Length: 0\r\n\r\n"
+	for name, text := range map[string]string{
+		"length and chunks": head("a") + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(hidden), hidden),
+		"chunks alone":      head("b") + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"another encoding":  head("c") + "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n\r\n" + hidden,
+		"HTTP/1.0":          strings.Replace(head("d"), "/1.1", "/1.0", 1) + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n" + hidden,
+		"two lengths":       head("e") + "Content-Length: 0\r\nContent-Length: 3\r\n\r\n" + hidden,
+		"negative length":   head("f") + "Content-Length: -3\r\n\r\n" + hidden,
+		"two ids":           head("g") + "Request-Id: other\r\nContent-Length: 0\r\n\r\n" + hidden,
+		"two classes":       head("h") + "Request-Class: order\r\nContent-Length: 0\r\n\r\n" + hidden,
+		"huge body":         head("i") + "Content-Length: 60000000\r\n\r\n" + hidden,
+		"unknown class":     strings.Replace(head("j"), "Class: order", "Class: odd", 1) + "Content-Length: 0\r\n\r\n" + hidden,
+	} {
+		answer := n.send(t, text)
+		if status := strings.TrimPrefix(answer, "HTTP/1.1 "); !strings.HasPrefix(status, "4") && !strings.HasPrefix(status, "5") ||
+			strings.Count(answer, "HTTP/1.1 ") != 1 {
+			t.Errorf("%s: got %q, want one error", name, answer)
+		}
+	}
+	if b.count() != 0 {
+		t.Errorf("%d of them were sent on", b.count())
+	}
+}
+
+// Guards against a reload that loses the list, and against news of the
+// address that was left.
+func TestReloadMovesToAnotherDiscovery(t *testing.T) {
+	first := newRawBackend(t, func(c net.Conn, r *http.Request) bool { return reply(c, "200 OK", "first") })
+	second := newRawBackend(t, func(c net.Conn, r *http.Request) bool { return reply(c, "200 OK", "second") })
+	list := func(generation int, id, addr string) string {
+		return fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[{"instanceId":%q,"hostPort":%q,"zone":"z","lifecycle":"up"}]}`, generation, id, addr)
+	}
+	watched, left := make(chan bool, 100), make(chan bool, 100)
+	var calls atomic.Int32
+	before := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			io.WriteString(w, list(8, "s-0", first.addr))
+			return
+		}
+		watched <- true
+		<-r.Context().Done()
+		left <- true
+	}))
+	t.Cleanup(before.Close)
+	after := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("from") == "3" {
+			watched <- true
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, list(3, "s-1", second.addr)) // an older version than the one that it replaces
+	}))
+	t.Cleanup(after.Close)
+	n := startNode(t, testConfig(t, before.Listener.Addr().String()))
+	wait := func(what string, c chan bool) {
+		t.Helper()
+		select {
+		case <-c:
+		case <-time.After(patience):
+			t.Fatal("no " + what)
+		}
+	}
+	old := n.discovery
+	wait("watch at the first address", watched)
+	if _, body, _ := n.mustAsk(t, "clip", "one", 3*time.Second); body != "first" {
+		t.Errorf("before: %q", body)
+	}
+	cfg := *n.cfg
+	cfg.Discovery = after.Listener.Addr().String()
+	n.Reload(&cfg)
+	wait("end of the watch at the first address", left)
+	wait("watch at the second address", watched)
+	n.post(listNews{kind: balance.ListFull, list: List{Generation: 99, Reset: true}, from: old})
+	if _, body, _ := n.mustAsk(t, "clip", "two", 3*time.Second); body != "second" {
+		t.Errorf("after: %q", body)
+	}
+}
