Tell spoilt answers from dead backends; keep H above what peak rates need

Now an answer that came but can't be passed on is a ServerError at once, the rest of an answer has 500 ms from its first byte, and 1xx answers ahead are skipped (http.ReadResponse gave them as the answer). H is now at least 1.5 of what peak rates keep out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,6 +18,7 @@
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
+	busyPart    = 1.5                    // H as a multiple of what peak rates keep out, at least: the mean lies under H
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
 	startWindow = 4.0                    // requests of all nodes at a server before a node has learned: no flood
 	reportSlack = 1.25                   // on thresholds for reports, which lag and come on top of own counts
@@ -160,7 +161,7 @@
 	}
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
 	want := math.Min(queueFactor*m.base, m.aimed)
-	h := rate * math.Max(m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
+	h := rate * math.Max(busyPart*m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
 	return math.Max(h, leastWindow/float64(m.set.Nodes))
 }
 
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -22,6 +22,8 @@
 const (
 	maxBody      = 64 << 10
 	maxAnswer    = 2 * maxBody            // with head and framing
+	answerTime   = 500 * time.Millisecond // for an answer, once its first byte has come: backends send them whole
+	maxInterim   = 8                      // 1xx answers ahead of the answer
 	idleMargin   = time.Second            // an idle connection is closed this long before the backend may close it
 	probeTimeout = 400 * time.Millisecond // for the answer, once the connection is up
 )
@@ -251,16 +253,13 @@
 	if n, err := c.Write(out.Bytes()); err != nil && n < out.Len() {
 		return result{code: balance.ConnectFailed}, false // its last byte was never written: it has not run
 	}
-	c.limit.N = maxAnswer
-	resp, err := http.ReadResponse(c.r, req)
+	resp, body, err := c.readAnswer(req)
+	if errors.Is(err, errSpoilt) {
+		return result{code: balance.ServerError}, false // the backend works, so it is not taken for dead
+	}
 	if err != nil {
 		return result{code: balance.Reset}, false
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil || len(body) > maxBody || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return result{code: balance.Reset}, false // cut short, too long, or of unknown length: not to be passed on
-	}
 	res.body, res.report = body, parseReport(resp.Header.Get("Server-Load"))
 	switch {
 	case resp.StatusCode == http.StatusOK:
@@ -274,6 +273,67 @@
 	return res, !resp.Close && c.r.Buffered() == 0
 }
 
+// errSpoilt says that an answer came, but none that may be passed on.
+var errSpoilt = errors.New("spoilt answer")
+
+// readAnswer reads one answer whole, past the 1xx ones ahead of it. Once the
+// first byte is there the rest has answerTime: guards against one that is cut
+// short, or noise, on a connection that stays open.
+func (c *conn) readAnswer(req *http.Request) (*http.Response, []byte, error) {
+	c.limit.N = maxAnswer
+	if _, err := c.r.Peek(1); err != nil {
+		return nil, nil, err
+	}
+	end := time.Now().Add(answerTime)
+	c.SetReadDeadline(end)
+	resp, body, err := c.parseAnswer(req)
+	c.SetReadDeadline(time.Time{})
+	var broken *net.OpError
+	switch {
+	case err == nil:
+		return resp, body, nil
+	case errors.As(err, &broken):
+		if broken.Timeout() && !time.Now().Before(end) {
+			return nil, nil, errSpoilt
+		}
+		return nil, nil, err // broken off, or called off
+	case (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) && c.limit.N > 0:
+		return nil, nil, err // broken off
+	}
+	return nil, nil, errSpoilt
+}
+
+// parseAnswer does not wait for more than it takes to see that something is
+// no answer.
+func (c *conn) parseAnswer(req *http.Request) (*http.Response, []byte, error) {
+	for range maxInterim + 1 {
+		const version = "HTTP/1."
+		for n := 1; n <= len(version); n++ {
+			if start, err := c.r.Peek(n); err != nil {
+				return nil, nil, err
+			} else if start[n-1] != version[n-1] {
+				return nil, nil, errSpoilt
+			}
+		}
+		resp, err := http.ReadResponse(c.r, req)
+		if err != nil {
+			return nil, nil, err
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		if resp.ContentLength > maxBody || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, nil, errSpoilt // too long, or of unknown length
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		if len(body) > maxBody {
+			err = errSpoilt
+		}
+		return resp, body, err
+	}
+	return nil, nil, errSpoilt
+}
+
 // probe asks a backend for its load.
 func (p *pool) probe(b *backend) result {
 	ctx, cancel := context.WithTimeout(context.Background(), p.connectTimeout+probeTimeout)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -325,8 +325,30 @@
 		"endless": func(c net.Conn, r *http.Request) bool {
 			return reply(c, "200 OK\r\nX: "+strings.Repeat("x", 2*maxAnswer), "")
 		},
-		"not HTTP":  func(c net.Conn, r *http.Request) bool { fmt.Fprint(c, "hello\r\n\r\n"); return false },
-		"no answer": func(c net.Conn, r *http.Request) bool { io.Copy(io.Discard, c); return false },
+		"not HTTP":                    func(c net.Conn, r *http.Request) bool { fmt.Fprint(c, "hello\r\n\r\n"); return false },
+		"no answer":                   func(c net.Conn, r *http.Request) bool { io.Copy(io.Discard, c); return false },
+		"noise on an open connection": func(c net.Conn, r *http.Request) bool { fmt.Fprint(c, "\x00\x7fhello"); return true },
+		"half a head on an open connection": func(c net.Conn, r *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Le")
+			return true
+		},
+		"too short on an open connection": func(c net.Conn, r *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
+			return true
+		},
+		"two lengths": func(c net.Conn, r *http.Request) bool {
+			return reply(c, "200 OK\r\nContent-Length: 2", "part")
+		},
+		"said to be huge": func(c net.Conn, r *http.Request) bool {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\npart")
+			return true
+		},
+		"1xx without end": func(c net.Conn, r *http.Request) bool {
+			for range 100 {
+				fmt.Fprint(c, "HTTP/1.1 102 Processing\r\n\r\n")
+			}
+			return true
+		},
 		"half chunk": func(c net.Conn, r *http.Request) bool {
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npa")
 			return false
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -158,6 +158,44 @@
 	}
 }
 
+// Guards against waiting for a deadline when it is clear that no answer comes,
+// and against taking a backend that answers for a dead one.
+func TestASpoiltAnswerEndsItsAttemptAndIsNoReset(t *testing.T) {
+	for name, text := range map[string]string{
+		"noise":       "\x00\x7fhello",
+		"half a head": "HTTP/1.1 200 OK\r\nContent-Le",
+		"too short":   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+		"huge":        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\npart",
+		"no length":   "HTTP/1.1 200 OK\r\n\r\npart",
+		"endless":     "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*maxAnswer),
+	} {
+		b := newRawBackend(t, func(c net.Conn, r *http.Request) bool { fmt.Fprint(c, text); return true })
+		p := newPool(testConfig(t, "127.0.0.1:1"))
+		to := &backend{addr: b.addr}
+		p.add(to)
+		res := p.exchange(context.Background(), to, newRequest("GET", "/clip", nil), func() bool { return true })
+		if res.code != balance.ServerError || res.body != nil || p.open != 0 {
+			t.Errorf("%s: outcome %d %q, %d open", name, res.code, res.body, p.open)
+		}
+	}
+}
+
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	b := newRawBackend(t, func(c net.Conn, r *http.Request) bool {
+		fmt.Fprint(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+		return reply(c, "200 OK", "done")
+	})
+	p := newPool(testConfig(t, "127.0.0.1:1"))
+	to := &backend{addr: b.addr}
+	p.add(to)
+	for range 2 {
+		res := p.exchange(context.Background(), to, newRequest("GET", "/clip", nil), func() bool { return true })
+		if res.code != balance.OK || string(res.body) != "done" || p.open != 1 {
+			t.Errorf("outcome %d %q, %d open", res.code, res.body, p.open)
+		}
+	}
+}
+
 func TestConnectFailedNeverRan(t *testing.T) {
 	p := newPool(testConfig(t, "127.0.0.1:1"))
 	to := &backend{addr: closedAddr(t)}
