Forget backends that are gone; keep the cold budget tame for new ones

Seen by reading and by the new tests: Node.backends, ids, pool.backends and the module's known only grew, and follow, reap and evict walk them whole. A backend is forgotten once it is gone with no attempt or probe out. A new id at an old address has its own stack of connections, and outcomes go by backend, not by address: checked by test, nothing to mend. The budget now grows with the plain smoothed rate. The H floor of 1.5 is for warm servers only.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,7 +18,7 @@
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
-	busyPart    = 1.5                    // H as a multiple of what peak rates keep out, at least: the mean lies under H
+	busyPart    = 1.5                    // of the requests out at peak rates, that H is at least
 	worthCut    = 0.1                    // part of the top worth up to which no request counts as priority
 	startWindow = 4.0                    // requests of all nodes at a server before a node has learned: no flood
 	reportSlack = 1.25                   // on thresholds for reports, which lag and come on top of own counts
@@ -161,7 +161,11 @@
 	}
 	rate := (1-anchor)*m.rateOf(s) + anchor*m.fleetRate*math.Min(1, m.mean/m.latencyOf(s))
 	want := math.Min(queueFactor*m.base, m.aimed)
-	h := rate * math.Max(busyPart*m.base*m.peak/m.fleetRate, want*math.Min(3, want/m.mean))
+	busy := m.base * m.peak / m.fleetRate
+	if !s.cold { // guards against a low H that keeps its own rate low
+		busy *= busyPart
+	}
+	h := rate * math.Max(busy, want*math.Min(3, want/m.mean))
 	return math.Max(h, leastWindow/float64(m.set.Nodes))
 }
 
@@ -281,7 +285,7 @@
 	}
 	part := m.set.ColdFrom + (1-m.set.ColdFrom)*math.Max(0, warm)
 	rate := math.Max(part*math.Max(m.fleetRate, coldStart/float64(m.set.Nodes)),
-		coldGrowth*m.set.OverloadFactor*m.rateOf(s))
+		coldGrowth*m.set.OverloadFactor*s.rate*decay(m.now-s.rateAt, rateTau)) // rateOf is wild at first
 	s.tokens, s.tokensAt = math.Min(2, s.tokens+rate*(m.now-s.tokensAt).Seconds()), m.now
 	return s.tokens < 1
 }
@@ -458,6 +462,7 @@
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
 	a.server.n--
+	m.drop(a.server)
 	m.reported(a.server, e.Report)
 	m.learnUnit(a, r.class, e)
 	m.judge(a.server, r, e)
@@ -553,6 +558,7 @@
 		if s.State != Gone {
 			m.list = append(m.list, s)
 		}
+		m.drop(s)
 	}
 	sort.Slice(m.list, func(i, j int) bool { return m.list[i].rank < m.list[j].rank })
 	m.subset()
--- /dev/null
+++ b/balance/forget_test.go
@@ -0,0 +1,30 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against growth where servers are replaced all day: one that is gone
+// is kept only while a request is out there.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	m := New(Settings{MaxAttempts: 1, Classes: []Class{{Name: "c", Effect: Safe, Aim: time.Second}}}, 1)
+	list := func(at Time, id ServerID) {
+		m.Handle(at, ListUpdate{Kind: ListFull, Entries: []Server{{ID: id}}})
+	}
+	for i := range 100 {
+		list(time.Duration(i), ServerID(i))
+	}
+	if len(m.known) != 1 {
+		t.Errorf("%d servers are known", len(m.known))
+	}
+	m.Handle(time.Second, RequestArrived{ID: "r", Class: "c", Patience: time.Minute})
+	list(2*time.Second, 100)
+	if m.known[99] == nil {
+		t.Fatal("forgotten with a request out")
+	}
+	m.Handle(3*time.Second, AttemptEnded{ID: "r", Server: 99, Code: OK})
+	if len(m.known) != 1 || m.known[100] == nil {
+		t.Errorf("after the answer %d servers are known", len(m.known))
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -157,6 +157,13 @@
 	return m.known[id]
 }
 
+// drop forgets a server that is gone with nothing out: guards against growth where servers are replaced all day.
+func (m *Module) drop(s *server) {
+	if s.State == Gone && s.n <= 0 && m.known[s.ID] == s {
+		delete(m.known, s.ID)
+	}
+}
+
 func (m *Module) do(a Action) { m.out = append(m.out, a) }
 
 // note logs a line about a server, at most one in 5 s, so that one that fails and recovers all the time fills no disk.
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -32,8 +32,11 @@
 // connections, which the pool's lock guards.
 type backend struct {
 	id        balance.ServerID
+	name      string // discovery's
 	addr      string
 	startedAt int64
+	gone      bool        // not on the list any more
+	out       int         // attempts and probes whose outcome is to come
 	closed    atomic.Bool // draining or gone: nothing new may be sent
 	idle      []*conn     // the warmest last
 }
@@ -53,18 +56,26 @@
 	connectTimeout, idleTime time.Duration
 	mu                       sync.Mutex
 	open, most               int
-	backends                 []*backend
+	backends                 map[*backend]bool
 }
 
 func newPool(c *Config) *pool {
-	return &pool{connectTimeout: c.Settings.ConnectTimeout, most: c.backendSockets(),
+	return &pool{connectTimeout: c.Settings.ConnectTimeout, most: c.backendSockets(), backends: map[*backend]bool{},
 		idleTime: max(c.Settings.ConnIdle-idleMargin, c.Settings.ConnIdle/2)}
 }
 
 func (p *pool) add(b *backend) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backends = append(p.backends, b)
+	p.backends[b] = true
+}
+
+// remove forgets a backend that has no connection any more.
+func (p *pool) remove(b *backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropIdle(b)
+	delete(p.backends, b)
 }
 
 // update takes a backend's new address and start. Connections to an older
@@ -117,7 +128,7 @@
 // evict closes the idle connection that has waited longest.
 func (p *pool) evict() bool {
 	var coldest *backend
-	for _, b := range p.backends {
+	for b := range p.backends {
 		if len(b.idle) > 0 && (coldest == nil || b.idle[0].idleSince.Before(coldest.idle[0].idleSince)) {
 			coldest = b
 		}
@@ -159,7 +170,7 @@
 func (p *pool) reap() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, b := range p.backends {
+	for b := range p.backends {
 		for len(b.idle) > 0 && time.Since(b.idle[0].idleSince) >= p.idleTime {
 			b.idle[0].Close()
 			b.idle = b.idle[1:]
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -64,6 +64,10 @@
 		result
 		elapsed time.Duration
 	}
+	probeDone struct {
+		*backend
+		balance.ProbeEnded
+	}
 	failAll struct{}
 	reload  struct{ discovery string }
 )
@@ -184,6 +188,10 @@
 		}
 	case attemptDone:
 		n.ended(e)
+	case probeDone:
+		n.handle(e.ProbeEnded)
+		e.backend.out--
+		n.drop(e.backend)
 	case listNews:
 		if e.from == nil || e.from == n.discovery { // guards against news of an address that was left
 			n.follow(e)
@@ -226,6 +234,8 @@
 	n.handle(balance.AttemptEnded{ID: r.ID, Attempt: e.number, Server: e.backend.id, Over: r.over.Load(),
 		Elapsed: e.elapsed, Code: e.code, Report: e.report})
 	n.forget(r)
+	e.backend.out--
+	n.drop(e.backend)
 }
 
 // finish gives the final answer unless there has been one.
@@ -259,11 +269,12 @@
 		id, state := n.idOf(entry.InstanceID), lifecycles[entry.Lifecycle]
 		b := n.backends[id]
 		if b == nil {
-			b = &backend{id: id}
+			b = &backend{id: id, name: entry.InstanceID}
 			n.backends[id] = b
 			n.pool.add(b)
 		}
 		listed[id] = true
+		b.gone = state == balance.Gone
 		if b.closed.Store(state != balance.Ready); state != balance.Gone {
 			n.pool.update(b, entry.HostPort, entry.StartedAtMs)
 		}
@@ -274,12 +285,26 @@
 	for id, b := range n.backends {
 		if e.kind != balance.ListChanges && !listed[id] {
 			b.closed.Store(true)
+			b.gone = true
 		}
 		if b.closed.Load() {
 			n.pool.closeIdle(b)
 		}
 	}
 	n.handle(update)
+	for _, b := range n.backends {
+		n.drop(b)
+	}
+}
+
+// drop forgets a backend that is gone once nothing is out there: guards
+// against growth where backends are replaced all day.
+func (n *Node) drop(b *backend) {
+	if b.gone && b.out == 0 && n.backends[b.id] == b {
+		delete(n.backends, b.id)
+		delete(n.ids, b.name)
+		n.pool.remove(b)
+	}
 }
 
 // idOf gives the module's number for a backend: a hash of its name, so that
@@ -355,6 +380,7 @@
 	a.cancel = cancel
 	r.attempts = append(r.attempts, a)
 	r.out++
+	b.out++
 	go func() {
 		defer cancel()
 		req := newRequest(r.method, r.uri, r.body)
@@ -373,8 +399,9 @@
 	if b == nil {
 		return
 	}
+	b.out++
 	go func() {
 		res := n.pool.probe(b)
-		n.post(balance.ProbeEnded{Server: b.id, Code: res.code, Elapsed: time.Since(sentAt), Report: res.report})
+		n.post(probeDone{b, balance.ProbeEnded{Server: b.id, Code: res.code, Elapsed: time.Since(sentAt), Report: res.report}})
 	}()
 }
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -265,20 +265,60 @@
 	draining := List{Generation: 8, Instances: []Entry{{InstanceID: "s-0", HostPort: "127.0.0.1:2", Lifecycle: "draining"},
 		{InstanceID: "s-1", Lifecycle: "removed"}}}
 	n.follow(listNews{kind: balance.ListChanges, list: draining})
+	closed := func(name string) bool {
+		b := n.backends[n.ids[name]]
+		return b == nil || b.closed.Load()
+	}
 	for i, want := range []bool{true, true, false} {
-		if got := n.backends[n.idOf(fmt.Sprintf("s-%d", i))].closed.Load(); got != want {
+		if got := closed(fmt.Sprintf("s-%d", i)); got != want {
 			t.Errorf("s-%d closed: %v", i, got)
 		}
 	}
 	n.follow(listNews{kind: balance.ListFull, list: List{Generation: 9, Instances: []Entry{
 		{InstanceID: "s-0", HostPort: "127.0.0.1:2", Lifecycle: "up"}}}})
 	for i, want := range []bool{false, true, true} {
-		if got := n.backends[n.idOf(fmt.Sprintf("s-%d", i))].closed.Load(); got != want {
+		if got := closed(fmt.Sprintf("s-%d", i)); got != want {
 			t.Errorf("after a full list, s-%d closed: %v", i, got)
 		}
 	}
 }
 
+// Guards against growth where backends are replaced all day, and against an
+// old connection or a late outcome that is taken for a new backend's, at the
+// address of one that has gone.
+func TestBackendsThatAreGoneAreForgotten(t *testing.T) {
+	n := New(testConfig(t, "127.0.0.1:1"))
+	list := func(generation int, id string) listNews {
+		return listNews{kind: balance.ListFull, list: List{Generation: uint64(generation), Instances: []Entry{
+			{InstanceID: id, HostPort: "127.0.0.1:2", Lifecycle: "up"}}}}
+	}
+	for i := range 100 {
+		n.follow(list(i, fmt.Sprintf("s-%d", i)))
+	}
+	if len(n.backends) != 1 || len(n.ids) != 1 || len(n.pool.backends) != 1 {
+		t.Errorf("kept %d backends, %d names, %d in the pool", len(n.backends), len(n.ids), len(n.pool.backends))
+	}
+	old := n.backends[n.ids["s-99"]]
+	old.out++
+	one, other := net.Pipe()
+	defer other.Close()
+	c := &conn{Conn: one, addr: old.addr, startedAt: old.startedAt}
+	n.pool.open++
+	n.follow(list(100, "s-new"))
+	if n.backends[old.id] != old {
+		t.Fatal("forgotten with an attempt out")
+	}
+	n.pool.put(old, c)
+	if fresh := n.backends[n.ids["s-new"]]; fresh == old || len(fresh.idle)+len(old.idle)+n.pool.open != 0 {
+		t.Error("the old connection was kept")
+	}
+	r := &request{RequestArrived: balance.RequestArrived{ID: "r"}, answer: make(chan answer, 1), out: 1}
+	n.ended(attemptDone{attempt: &attempt{request: r, backend: old}, result: result{code: balance.Reset}})
+	if len(n.backends) != 1 || len(n.ids) != 1 || len(n.pool.backends) != 1 {
+		t.Errorf("after the last outcome: %d backends, %d names, %d in the pool", len(n.backends), len(n.ids), len(n.pool.backends))
+	}
+}
+
 // Guards against silent clients that take all descriptors, and against cutting
 // off a connection that has just come and may have a request on its way.
 func TestClientConnectionsOverBudgetCloseTheLongestSilent(t *testing.T) {
