Gate client connections at their budget; time out incomplete requests

Nothing ended a silent or half request at all. Accept now waits for room, made by closing the longest silent connection; heads have 1.5 s, bodies 1.2 s, idle connections 5 s. What is wholly taken is never cut: the read deadline ends with the body. Ruled out: ReadTimeout, which stays on during the handler and cancels a request that has been taken.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -6,7 +6,7 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,7 +16,19 @@
 	"barrowscale/balance"
 )
 
-const maxPatience = time.Hour // a longer Request-Timeout-Ms is taken for a mistake
+const (
+	maxPatience = time.Hour // a longer Request-Timeout-Ms is taken for a mistake
+	maxHead     = 8 << 10
+
+	// An incomplete request is owed an error or a close within 3 s.
+	headTime   = 1500 * time.Millisecond // for the head, from the connection's start or the head's first byte
+	bodyTime   = 1200 * time.Millisecond // for the body, from the head's end
+	clientIdle = 5 * time.Second         // between requests
+
+	freshSpare = 100 * time.Millisecond // a connection's first request comes right behind it
+	idleSpare  = 2 * time.Second        // from then on an idle connection may be closed
+	roomPause  = 2 * time.Millisecond
+)
 
 // request is one try of a client, from its arrival to its final answer.
 type request struct {
@@ -82,7 +94,7 @@
 		if a.holdOff > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
 		}
-		if n.draining.Load() || n.clients.crowded() {
+		if n.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -132,10 +144,9 @@
 	if r.ContentLength > maxBody { // before any of it is read
 		return nil, &badRequest{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &badRequest{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
+	body, err := readBody(w, r)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &badRequest{http.StatusRequestTimeout, "the body did not come in time"}
 	}
 	if err != nil {
 		return nil, bad("body: %v", err)
@@ -158,49 +169,105 @@
 	}, nil
 }
 
+// readBody reads a body whose length is known, within bodyTime. What is wholly
+// taken is never cut off, so the time-out ends with it.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength <= 0 {
+		return nil, nil
+	}
+	c := http.NewResponseController(w)
+	if err := c.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		return nil, err
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, err
+	}
+	return body, c.SetReadDeadline(time.Time{})
+}
+
 // clientConns keeps the number of client connections within its budget, so
-// that there are always descriptors left to accept the next one: one in the
-// kernel's backlog already counts as accepted. It closes the connection that
-// has been silent longest, be it between requests or before its first one; one
-// that fell silent just now may have a request on its way and is spared. With
-// none to close, answers end their connections.
+// that the process never runs out of descriptors. At the budget the next one
+// waits in the kernel's backlog until there is room, which is made by closing
+// the longest silent connection: first one that never sent a whole request,
+// else one between requests. A fresh one is spared, as it may have a request
+// on its way.
 type clientConns struct {
+	net.Listener
 	most   int
-	spare  time.Duration // how long a silent connection is left alone
 	mu     sync.Mutex
 	open   int
-	silent []silentConn // the longest silent first
+	fresh  map[net.Conn]time.Time // since when: no whole request yet
+	idle   map[net.Conn]time.Time // between requests
+	closed chan struct{}
+	close  sync.Once
+}
+
+func newClientConns(most int) *clientConns {
+	return &clientConns{most: most, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{},
+		closed: make(chan struct{})}
 }
 
-type silentConn struct {
-	net.Conn
-	since time.Time
+// Accept waits until there is room for one more connection.
+func (c *clientConns) Accept() (net.Conn, error) {
+	for !c.room(time.Now()) {
+		select {
+		case <-time.After(roomPause):
+		case <-c.closed:
+			return nil, net.ErrClosed
+		}
+	}
+	return c.Listener.Accept()
 }
 
-func newClientConns(most int) *clientConns { return &clientConns{most: most, spare: time.Second} }
+func (c *clientConns) Close() error {
+	c.close.Do(func() { close(c.closed) })
+	return c.Listener.Close()
+}
+
+// room tells whether there is room, and makes some if there is none.
+func (c *clientConns) room(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open < c.most {
+		return true
+	}
+	if !closeLongest(c.fresh, now.Add(-freshSpare)) {
+		closeLongest(c.idle, now.Add(-idleSpare))
+	}
+	return false // until the server tells that it is closed
+}
+
+// closeLongest closes the connection that has been silent longest, if it has
+// been so since before a time.
+func closeLongest(silent map[net.Conn]time.Time, before time.Time) bool {
+	var longest net.Conn
+	for conn, since := range silent {
+		if since.Before(before) {
+			longest, before = conn, since
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	longest.Close()
+	delete(silent, longest)
+	return true
+}
 
 // track is the server's ConnState hook.
 func (c *clientConns) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.silent = slices.DeleteFunc(c.silent, func(s silentConn) bool { return s.Conn == conn })
+	delete(c.fresh, conn)
+	delete(c.idle, conn)
 	switch state {
 	case http.StateNew:
 		c.open++
-		c.silent = append(c.silent, silentConn{conn, time.Now()})
+		c.fresh[conn] = time.Now()
 	case http.StateIdle:
-		c.silent = append(c.silent, silentConn{conn, time.Now()})
+		c.idle[conn] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
 	}
-	if state == http.StateNew && c.open > c.most && time.Since(c.silent[0].since) >= c.spare {
-		c.silent[0].Close() // the server then tells of StateClosed
-		c.silent = c.silent[1:]
-	}
-}
-
-func (c *clientConns) crowded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open > c.most
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -101,10 +101,12 @@
 	n.post(listNews{kind: balance.ListCached, list: n.cfg.Known})
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	go n.loop(loopCtx)
-	// No time-outs: one would cut off a request that has been taken.
-	server := &http.Server{Handler: n, MaxHeaderBytes: 16 << 10, ConnState: n.clients.track}
+	// ReadTimeout and WriteTimeout would cut off a request that has been taken.
+	server := &http.Server{Handler: n, MaxHeaderBytes: maxHead, ReadHeaderTimeout: headTime, IdleTimeout: clientIdle,
+		ConnState: n.clients.track}
+	n.clients.Listener = listener
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(n.clients) }()
 	select {
 	case err = <-served:
 	case <-ctx.Done():
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -584,3 +584,34 @@
 		t.Errorf("after: %q", body)
 	}
 }
+
+// Guards against clients that say nothing or half of it: they are owed an
+// error or a close, and take no descriptor from others. One wholly taken is
+// never cut off, however long its answer takes.
+func TestIncompleteRequestsEndAndOthersAreServed(t *testing.T) {
+	b := newRawBackend(t, func(c net.Conn, r *http.Request) bool {
+		time.Sleep(headTime + bodyTime + 500*time.Millisecond)
+		return reply(c, "200 OK", "done")
+	})
+	c := testConfig(t, closedAddr(t), b.addr)
+	c.Sockets = leastSockets // 20 of them for clients
+	n := startNode(t, c)
+	head := "POST /order HTTP/1.1\r\nHost: x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 9000\r\nRequest-Id: half\r\n"
+	var ends sync.WaitGroup
+	for i := range 60 {
+		ends.Add(1)
+		go func() {
+			defer ends.Done()
+			n.send(t, []string{"", head, head + "Content-Length: 9\r\n\r\nhalf", head + "Long: " + strings.Repeat("x", 100000)}[i%4])
+		}()
+	}
+	for _, class := range []string{"clip", "order", "tag"} {
+		if status, body, _ := n.mustAsk(t, class, "good-"+class, 15*time.Second); status != 200 || body != "done" {
+			t.Errorf("%s: got %d %q", class, status, body)
+		}
+	}
+	ends.Wait()
+	if b.count() != 3 {
+		t.Errorf("%d requests were sent on", b.count())
+	}
+}
