--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,7 +14,7 @@
 	validity    = time.Second            // s; oc-validity of the paper: an imposed mode lapses after it
 	recompute   = 500 * time.Millisecond // s; period of q: many arrivals, yet far shorter than a trouble
 	aimPart     = 0.4                    // part of an aim that the class's mean delay may take: tails are long
-	queueFactor = 1.8                    // of the uncrowded latency: long queues harm where crowds slow servers
+	queueFactor = 3.0                    // of the uncrowded latency: keeps cores busy, long queues harm
 	baseNoise   = 0.15                   // by how much chance alone takes a class's mean under its true value
 	lowPart     = 0.5                    // L as a part of H: the hysteresis
 	highPart    = 2.0                    // R as a multiple of H: room for priority work
