Close idle client connections after 2 s; split descriptors 3 to 5

Idle ones now go after 2 s, the earliest allowed; 24 descriptors are kept instead of 32 (the node's own came to about 10) and clients get five eighths of the rest.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -23,10 +23,10 @@
 	// An incomplete request is owed an error or a close within 3 s.
 	headTime   = 1200 * time.Millisecond // for the head, from the connection's start or the head's first byte
 	bodyTime   = 1000 * time.Millisecond // for the body, from the head's end
-	clientIdle = 5 * time.Second         // between requests
+	clientIdle = 2 * time.Second         // between requests
 
 	freshSpare = 50 * time.Millisecond // a connection's first request comes right behind it
-	idleSpare  = 2 * time.Second       // from then on an idle connection may be closed
+	idleSpare  = 2 * time.Second       // no earlier may an idle connection be closed
 	roomBatch  = 16                    // how many are closed at once: a crowd comes by hundreds
 	roomPause  = 2 * time.Millisecond
 )
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	reservedSockets = 32 // listeners, discovery, peers, standard streams, the runtime's own
+	reservedSockets = 24 // listeners, discovery, peers, standard streams, the runtime's own
 	leastSockets    = 2 * reservedSockets
 )
 
@@ -112,5 +112,5 @@
 // backendSockets is the part of the descriptors that connections to backends
 // may take, clientSockets that of clients, which are more: each request at a
 // backend has its client's connection, and clients keep idle ones too.
-func (c *Config) backendSockets() int { return (c.Sockets - reservedSockets) * 2 / 5 }
+func (c *Config) backendSockets() int { return (c.Sockets - reservedSockets) * 3 / 8 }
 func (c *Config) clientSockets() int  { return c.Sockets - reservedSockets - c.backendSockets() }
