--- a/balance/mode_test.go
+++ b/balance/mode_test.go
@@ -65,3 +65,19 @@
 		}
 	}
 }
+
+// Guards against a low H that keeps its own rate low once servers have been
+// slow; a cold server keeps to its budget.
+func TestHStaysAboveWhatPeakRatesKeepOut(t *testing.T) {
+	m := New(Settings{}, 1)
+	m.now, m.learned = 10*time.Minute, true
+	m.base, m.mean, m.aimed, m.peak, m.fleetRate = 0.08, 0.3, 0.25, 30, 10
+	s := &server{rate: 10, rateAt: m.now}
+	if h, least := m.high(s), busyPart*m.base*m.peak; h < 0.9*least {
+		t.Errorf("H of a slow server is %.1f, peak rates want %.1f", h, least)
+	}
+	warm := m.high(s)
+	if s.cold = true; m.high(s) > 0.7*warm {
+		t.Errorf("H of a cold server is %.1f, of a warm one %.1f", m.high(s), warm)
+	}
+}
