End connections that asked for /up, and others with their answers when crowded

Nothing may close an idle connection before 2 s, so Accept waited for them. Ruled out: the event queue (empty), the module (latencies near the uncrowded ones), fresh silent ones (0).

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -73,6 +73,7 @@
 		return
 	}
 	if r.URL.Path == "/up" {
+		w.Header().Set("Connection", "close") // guards against checks that stay and fill the budget
 		if n.draining.Load() {
 			http.Error(w, "draining", http.StatusServiceUnavailable)
 		}
@@ -95,7 +96,7 @@
 		if a.holdOff > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.holdOff.Seconds(), 'f', 3, 64))
 		}
-		if n.draining.Load() {
+		if n.draining.Load() || n.clients.crowded() {
 			w.Header().Set("Connection", "close")
 		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -241,6 +242,15 @@
 	return false // until the server tells that it is closed
 }
 
+// crowded tells that the budget is nearly spent. Connections then end with
+// their answers: guards against idle ones, which may not be closed at once,
+// that keep all others waiting.
+func (c *clientConns) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return 4*c.open > 3*c.most
+}
+
 // closeLongest closes the connection that has been silent longest, if it has
 // been so since before a time.
 func closeLongest(silent map[net.Conn]time.Time, before time.Time) bool {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -615,3 +615,16 @@
 		t.Errorf("%d requests were sent on", b.count())
 	}
 }
+
+// Guards against connections of health checks that stay and fill the budget.
+func TestAHealthCheckEndsItsConnection(t *testing.T) {
+	n := startNode(t, testConfig(t, closedAddr(t)))
+	resp, err := n.client.Get(n.url + "/up")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("got %s, to be closed: %v", resp.Status, resp.Close)
+	}
+}
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -349,9 +349,15 @@
 	c.track(conns[0], http.StateIdle)
 	c.track(conns[1], http.StateNew) // sends nothing
 	check("under the budget", time.Hour, true)
+	if c.crowded() {
+		t.Error("crowded with two of three")
+	}
 	c.track(conns[2], http.StateNew)
 	c.track(conns[2], http.StateActive) // has a request open
 	check("all of them fresh", 0, false)
+	if !c.crowded() {
+		t.Error("not crowded at the budget")
+	}
 	check("one that never sent a request", idleSpare/2, false, 1)
 	check("one idle for a moment", idleSpare/2, false, 1)
 	check("one idle for long", time.Hour, false, 0, 1)
