--- a/balance/balance.go
+++ b/balance/balance.go
@@ -276,8 +276,10 @@
 	return nil
 }
 
+// startCold cuts the rate of answers, which may be an older, warm process's and would pay for a flood.
 func (m *Module) startCold(s *server, at Time) {
 	s.cold, s.coldSince, s.tokens, s.tokensAt = true, at, 1, m.now
+	s.rate *= m.set.ColdFrom
 }
 
 // paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
--- /dev/null
+++ b/internal/lab/caller/caller.go
@@ -0,0 +1,337 @@
+// Package caller is the stand-in clients, with the front that deals out their
+// connections: the orders of a load stream, sent over sockets in the form of
+// the protocol page, with the clients' own retries.
+package caller
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/load"
+	"barrowscale/internal/lab/scenario"
+)
+
+const (
+	dialTime = time.Second
+	maxIdle  = 512 // kept connections; more are closed
+	maxOpen  = 4096
+	slowRead = 20 * time.Millisecond // what a slow reader waits before it reads
+)
+
+// Place is where a connection may go: a node and the process that serves it.
+type Place struct {
+	Node, Addr string
+	Life       int // counts the node's processes
+}
+
+// Front deals out connections among the nodes of a hall. Its methods may be
+// called from several goroutines.
+type Front struct {
+	mu     sync.Mutex
+	halls  map[string]string // node: hall
+	order  []string
+	places map[string]Place // those it knows to be up
+	lives  map[string]int   // of the processes that have been killed so far
+	turn   int
+}
+
+// NewFront makes one for the nodes of a scenario.
+func NewFront(nodes []scenario.Node) *Front {
+	f := &Front{halls: map[string]string{}, places: map[string]Place{}, lives: map[string]int{}}
+	for _, n := range nodes {
+		f.halls[n.Name] = n.Hall
+		f.order = append(f.order, n.Name)
+	}
+	return f
+}
+
+// Up takes a node in.
+func (f *Front) Up(p Place) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.places[p.Node] = p
+}
+
+// Down leaves a process of a node out.
+func (f *Front) Down(node string, life int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.places[node].Life == life {
+		delete(f.places, node)
+	}
+}
+
+// Killed notes that a process was killed, before the front notices it: what it
+// had taken is the clients' to retry.
+func (f *Front) Killed(node string, life int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lives[node] = life
+}
+
+func (f *Front) wasKilled(p Place) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return p.Life <= f.lives[p.Node]
+}
+
+// Deal gives the node for the next connection from a hall; a hall without one
+// is served by the others.
+func (f *Front) Deal(hall string) (Place, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, near := range []bool{true, false} {
+		var up []Place
+		for _, name := range f.order {
+			if p, known := f.places[name]; known && (f.halls[name] == hall) == near {
+				up = append(up, p)
+			}
+		}
+		if len(up) > 0 {
+			f.turn++
+			return up[f.turn%len(up)], true
+		}
+	}
+	return Place{}, false
+}
+
+// Clients sends orders. Its methods may be called from several goroutines.
+type Clients struct {
+	Scenario *scenario.Scenario
+	Front    *Front
+	Clock    func() time.Duration
+	Record   func(history.Event)
+	Slack    time.Duration // that a client waits past its time, so that the judge sees how late an answer is
+
+	mu    sync.Mutex
+	idle  map[string][]*conn // by hall, the warmest last
+	open  int
+	stats Stats
+}
+
+// Stats are the clients' own counts.
+type Stats struct {
+	Dialled, Resent, NoPlace int
+}
+
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	place Place
+}
+
+// Order sends an order with its retries and returns when it is over.
+func (c *Clients) Order(o *load.Order) {
+	for n := 0; ; n++ {
+		st, retryAfter := c.try(o, n)
+		wait, again := load.Again(c.Scenario, o, n, st, retryAfter, c.Clock())
+		if !again {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+// try sends one try and gives how it ended.
+func (c *Clients) try(o *load.Order, n int) (history.Status, time.Duration) {
+	id := fmt.Sprintf("%s.%d", o.ID, n)
+	patience := load.Patience(c.Scenario, o, c.Clock())
+	if patience < time.Millisecond {
+		return history.Left, 0
+	}
+	var text strings.Builder
+	method := http.MethodPost
+	if o.Class.Effect == history.Safe {
+		method = http.MethodGet
+	}
+	fmt.Fprintf(&text, "%s /%s/clip?sid=%s&work=%d HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %s\r\nRequest-Class: %s\r\nRequest-Timeout-Ms: %d\r\n",
+		method, o.Class.Name, o.ID, o.Work.Microseconds(), id, o.Class.Name, patience.Milliseconds())
+	if o.Key != "" {
+		fmt.Fprintf(&text, "Idempotency-Key: %s\r\n", o.Key)
+	}
+	if method == http.MethodPost {
+		fmt.Fprintf(&text, "Content-Length: 8\r\n\r\nplease\r\n")
+	} else {
+		text.WriteString("\r\n")
+	}
+	var last result
+	for resend := false; ; resend = true {
+		k, fresh := c.take(o.Hall, resend)
+		if k == nil {
+			c.mu.Lock()
+			c.stats.NoPlace++
+			c.mu.Unlock()
+			return history.Unreachable, 0
+		}
+		last = c.exchange(k, text.String(), id, o, patience)
+		// A connection that the node closed between requests, as it may: the
+		// request goes out once more on a new one. Not if the process was killed
+		// with the request in its hands.
+		if last.status == history.Broken && last.silent && !fresh && !resend && !c.Front.wasKilled(k.place) {
+			c.mu.Lock()
+			c.stats.Resent++
+			c.mu.Unlock()
+			continue
+		}
+		if !last.written {
+			return history.Unreachable, 0
+		}
+		c.Record(history.Event{At: last.sent, Kind: history.Try, Order: o.ID, Try: id, Number: n, Class: o.Class.Name,
+			Node: k.place.Node, Key: o.Key, Deadline: last.sent + patience})
+		break
+	}
+	c.Record(history.Event{At: last.ended, Kind: history.Answer, Try: id, Status: last.status, Server: last.server})
+	if last.extra {
+		c.Record(history.Event{At: last.ended, Kind: history.Extra, Try: id})
+	}
+	return last.status, last.retryAfter
+}
+
+// take gives the warmest idle connection from a hall, or opens one.
+func (c *Clients) take(hall string, fresh bool) (k *conn, isFresh bool) {
+	c.mu.Lock()
+	if c.idle == nil {
+		c.idle = map[string][]*conn{}
+	}
+	if list := c.idle[hall]; !fresh && len(list) > 0 {
+		k = list[len(list)-1]
+		c.idle[hall] = list[:len(list)-1]
+		c.mu.Unlock()
+		return k, false
+	}
+	if c.open >= maxOpen {
+		c.mu.Unlock()
+		return nil, true
+	}
+	c.open++
+	c.stats.Dialled++
+	c.mu.Unlock()
+	if p, any := c.Front.Deal(hall); any {
+		if nc, err := net.DialTimeout("tcp", p.Addr, dialTime); err == nil {
+			return &conn{nc, bufio.NewReader(nc), p}, true
+		}
+	}
+	c.drop(nil)
+	return nil, true
+}
+
+func (c *Clients) drop(k *conn) {
+	if k != nil {
+		k.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+}
+
+func (c *Clients) keep(hall string, k *conn) {
+	c.mu.Lock()
+	if len(c.idle[hall]) < maxIdle {
+		c.idle[hall] = append(c.idle[hall], k)
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	c.drop(k)
+}
+
+// Stats gives the counts.
+func (c *Clients) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stats
+}
+
+// Close gives up idle connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, list := range c.idle {
+		for _, k := range list {
+			k.Close()
+		}
+	}
+	c.idle = nil
+}
+
+// result is how one exchange went.
+type result struct {
+	status      history.Status
+	written     bool
+	silent      bool // it broke before the first byte of an answer
+	sent, ended time.Duration
+	retryAfter  time.Duration
+	server      string
+	extra       bool
+}
+
+func (c *Clients) exchange(k *conn, text, id string, o *load.Order, patience time.Duration) (r result) {
+	keep := false
+	defer func() {
+		if r.ended = c.Clock(); keep {
+			c.keep(o.Hall, k)
+		} else {
+			c.drop(k)
+		}
+	}()
+	k.SetDeadline(time.Now().Add(patience + c.Slack))
+	r.sent = c.Clock()
+	if _, err := io.WriteString(k, text); err != nil {
+		r.status, r.silent = history.Broken, true
+		return r
+	}
+	r.written, r.sent = true, c.Clock()
+	if _, err := k.r.Peek(1); err != nil {
+		r.status, r.silent = lost(err), true
+		return r
+	}
+	if o.Slow {
+		c.Record(history.Event{At: c.Clock(), Kind: history.Slow, Try: id})
+		time.Sleep(slowRead)
+	}
+	resp, err := http.ReadResponse(k.r, nil)
+	if err != nil {
+		r.status = lost(err)
+		return r
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10+1))
+	if err != nil {
+		r.status = lost(err)
+		return r
+	}
+	r.extra = k.r.Buffered() > 0
+	keep = !resp.Close && !r.extra
+	switch resp.StatusCode {
+	case http.StatusOK:
+		r.status = history.Wrong
+		if rest, ok := strings.CutPrefix(string(body), "clip "+id+" by "); ok {
+			r.status, r.server = history.Served, strings.TrimSpace(rest)
+		}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		r.status = history.Refused
+		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < 3600 {
+			r.retryAfter = time.Duration(s * float64(time.Second))
+		}
+	default:
+		r.status = history.Failed
+	}
+	return r
+}
+
+// lost tells a time-out from a broken connection.
+func lost(err error) history.Status {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return history.GaveUp
+	}
+	return history.Broken
+}
--- /dev/null
+++ b/internal/lab/clip/pod.go
@@ -0,0 +1,43 @@
+package clip
+
+import (
+	"sync"
+	"time"
+)
+
+// maxKeys bounds a pod's memory of keys: 8 s at 2,000 keyed requests a second.
+const maxKeys = 16_000
+
+// Pod is a group of servers that share what keys they have met. It may be used
+// by several goroutines.
+type Pod struct {
+	Window time.Duration // how long a key is remembered
+	mu     sync.Mutex
+	seen   map[string]time.Duration
+	order  []string
+}
+
+// NewPod makes a pod that remembers keys for a time.
+func NewPod(window time.Duration) *Pod {
+	return &Pod{Window: window, seen: map[string]time.Duration{}}
+}
+
+// First tells whether a key is met for the first time within the window, and
+// remembers it from now on if so. An empty key is always new.
+func (p *Pod) First(now time.Duration, key string) bool {
+	if key == "" {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.order) > 0 && (now-p.seen[p.order[0]] >= p.Window || len(p.order) > maxKeys) {
+		delete(p.seen, p.order[0])
+		p.order = p.order[1:]
+	}
+	if _, met := p.seen[key]; met {
+		return false
+	}
+	p.seen[key] = now
+	p.order = append(p.order, key)
+	return true
+}
--- /dev/null
+++ b/internal/lab/command/command.go
@@ -0,0 +1,370 @@
+// Package command is ivylab's command line.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/holds"
+	"barrowscale/internal/lab/judge"
+	orders "barrowscale/internal/lab/load"
+	"barrowscale/internal/lab/memory"
+	"barrowscale/internal/lab/real"
+	"barrowscale/internal/lab/scenario"
+	"barrowscale/internal/lab/show"
+	"barrowscale/internal/lab/sweep"
+	"barrowscale/scenarios"
+)
+
+// The exit codes.
+const (
+	Held    = 0
+	NotHeld = 1 // a rule, a figure, or the run itself
+	Misuse  = 2 // unknown words or a bad file: nothing was started
+)
+
+const usage = `ivylab plays halls of clip servers, nodes and clients on this machine.
+
+  ivylab demo                    the first look: 30 s with a drain and a silent server
+  ivylab list                    the scenarios
+  ivylab run NAME|FILE.toml      one scenario, with real nodes as processes
+  ivylab sweep -seeds N          N random fault timelines in memory
+  ivylab judge FILE              the verdict on a history that run -history wrote
+
+Each takes -h. Exit code 0: all that was asked held; 1: it did not; 2: nothing was started.
+`
+
+type app struct {
+	out, err io.Writer
+	terminal bool
+}
+
+// Run carries out a command line and gives the exit code.
+func Run(ctx context.Context, args []string, out, errs io.Writer, terminal bool) int {
+	a := &app{out, errs, terminal}
+	if len(args) == 0 {
+		fmt.Fprint(errs, usage)
+		return Misuse
+	}
+	switch args[0] {
+	case "demo":
+		return a.demo(ctx, args[1:])
+	case "list":
+		return a.list(args[1:])
+	case "run":
+		return a.run(ctx, args[1:])
+	case "sweep":
+		return a.sweep(args[1:])
+	case "judge":
+		return a.judge(args[1:])
+	case "help", "-h", "-help", "--help":
+		fmt.Fprint(out, usage)
+		return Held
+	}
+	fmt.Fprintf(errs, "ivylab: unknown command %q; there are demo, list, run, sweep and judge\n", args[0])
+	return Misuse
+}
+
+// parse reads flags, and one word ahead of or behind them where a command
+// takes one.
+func (a *app) parse(f *flag.FlagSet, args []string, word *string) bool {
+	f.SetOutput(a.err)
+	if word != nil && len(args) > 0 && !strings.HasPrefix(args[0], "-") {
+		*word, args = args[0], args[1:]
+	}
+	if f.Parse(args) != nil {
+		return false
+	}
+	rest := f.Args()
+	if word != nil && *word == "" && len(rest) > 0 {
+		*word, rest = rest[0], rest[1:]
+	}
+	if len(rest) > 0 {
+		fmt.Fprintf(a.err, "ivylab %s: %q is one word too many\n", f.Name(), rest[0])
+		return false
+	}
+	return true
+}
+
+func (a *app) fail(code int, err error) int {
+	fmt.Fprintln(a.err, "ivylab:", err)
+	return code
+}
+
+func (a *app) list(args []string) int {
+	f := flag.NewFlagSet("list", flag.ContinueOnError)
+	if !a.parse(f, args, nil) {
+		return Misuse
+	}
+	files, err := fs.Glob(scenarios.Files, "*.toml")
+	if err != nil {
+		return a.fail(Misuse, err)
+	}
+	for _, file := range files {
+		s, err := scenario.LoadFile(scenarios.Files, file)
+		if err != nil {
+			return a.fail(Misuse, err)
+		}
+		fmt.Fprintf(a.out, "%-14s %4.0f s  %s\n", s.Name, s.Length.Seconds(), s.About)
+	}
+	return Held
+}
+
+// load finds a scenario by its name, or reads a file.
+func load(word string) (*scenario.Scenario, error) {
+	if word == "" {
+		return nil, errors.New("which scenario? ivylab list shows them")
+	}
+	if strings.HasSuffix(word, ".toml") {
+		raw, err := os.ReadFile(word)
+		if err != nil {
+			return nil, err
+		}
+		return scenario.Parse(word, raw)
+	}
+	s, err := scenario.LoadFile(scenarios.Files, word+".toml")
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("no scenario %q; ivylab list shows them, and a file's name ends with .toml", word)
+	}
+	return s, err
+}
+
+// files are where a run's results go.
+type files struct{ json, history, report string }
+
+func (x *files) flags(f *flag.FlagSet) {
+	f.StringVar(&x.json, "json", "", "write all figures by name to this `file`")
+	f.StringVar(&x.history, "history", "", "write the history, one JSON line an event, to this `file`")
+	f.StringVar(&x.report, "report", "", "write a self-contained HTML report to this `file`")
+}
+
+func (a *app) run(ctx context.Context, args []string) int {
+	var word string
+	var to files
+	f := flag.NewFlagSet("run", flag.ContinueOnError)
+	seed := f.Int64("seed", 0, "the `seed`; 0: the scenario's own")
+	inMemory := f.Bool("memory", false, "in memory, under virtual time: the decision module without its sockets")
+	program := f.String("node", "", "the node's `program`; empty: it is built from this source tree")
+	to.flags(f)
+	if !a.parse(f, args, &word) {
+		return Misuse
+	}
+	s, err := load(word)
+	if err != nil {
+		return a.fail(Misuse, err)
+	}
+	if *inMemory {
+		start := time.Now()
+		h := memory.Run(s, memory.Options{Seed: *seed})
+		return a.finish(s, h, nil, to, time.Since(start), nil)
+	}
+	return a.play(ctx, s, real.Options{Seed: *seed}, *program, to, false)
+}
+
+// play runs a scenario on sockets, with the screen if it is asked for.
+func (a *app) play(ctx context.Context, s *scenario.Scenario, o real.Options, program string, to files, screen bool) int {
+	if program == "" {
+		dir, err := os.MkdirTemp("", "ivylab-build-")
+		if err != nil {
+			return a.fail(NotHeld, err)
+		}
+		defer os.RemoveAll(dir)
+		program = filepath.Join(dir, "ivylock")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", program, "barrowscale/cmd/ivylock").CombinedOutput(); err != nil {
+			return a.fail(Misuse, fmt.Errorf("the node could not be built here (-node names one that is): %v %s", err, strings.TrimSpace(string(out))))
+		}
+	}
+	o.Program = program
+	live := show.NewLive(orders.ClassesOf(s))
+	o.Watch = live.Add
+	start := time.Now()
+	hall, err := real.New(ctx, s, o)
+	if err != nil {
+		return a.fail(NotHeld, err)
+	}
+	over := make(chan struct{})
+	shown := make(chan struct{})
+	go func() {
+		defer close(shown)
+		a.follow(hall, live, s, over, screen)
+	}()
+	h, err := hall.Run(ctx)
+	close(over)
+	<-shown
+	hall.Close()
+	own := hall.Own()
+	if err != nil && ctx.Err() != nil {
+		fmt.Fprintln(a.err, "ivylab: stopped; all processes have ended")
+		return NotHeld
+	}
+	if err != nil {
+		return a.fail(NotHeld, err)
+	}
+	return a.finish(s, h, &own, to, time.Since(start), nil)
+}
+
+// follow shows a run until it is over: a screen that changes, or plain lines.
+func (a *app) follow(h *real.Hall, l *show.Live, s *scenario.Scenario, over <-chan struct{}, screen bool) {
+	every := 2 * time.Second
+	if screen = screen && a.terminal; screen {
+		every = 250 * time.Millisecond
+		fmt.Fprint(a.out, "\x1b[?25l\x1b[2J")         // no cursor, a clean screen
+		defer fmt.Fprint(a.out, "\x1b[?25h\x1b[0m\n") // as it was
+	}
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-over:
+			return
+		case <-t.C:
+			if screen {
+				text := l.Screen("ivylab "+s.Name, h.Clock(), s.Length.Duration, h.Rows())
+				fmt.Fprint(a.out, "\x1b[H"+strings.ReplaceAll(text, "\n", "\x1b[K\n")+"\x1b[J")
+			} else {
+				fmt.Fprintln(a.out, l.Line(h.Clock(), h.Rows()))
+			}
+		}
+	}
+}
+
+// Result is what run -json writes.
+type Result struct {
+	Scenario string         `json:"scenario"`
+	Seed     int64          `json:"seed"`
+	Held     bool           `json:"held"`
+	Left     []string       `json:"did_not_hold"`
+	Verdict  *judge.Verdict `json:"verdict"`
+	Lab      *real.Own      `json:"lab,omitempty"` // the lab's own part, on sockets
+	Took     float64        `json:"took_s"`
+	Events   int            `json:"events"`
+}
+
+// finish judges a run, writes what was asked for and prints the verdict.
+func (a *app) finish(s *scenario.Scenario, h *history.History, own *real.Own, to files, took time.Duration, more []string) int {
+	v := judge.Judge(h)
+	left := append(holds.Check(s, h, &v), more...)
+	r := Result{s.Name, h.Setup.Seed, len(left) == 0, left, &v, own, took.Seconds(), len(h.Events)}
+	if err := to.write(h, &r); err != nil {
+		return a.fail(NotHeld, err)
+	}
+	a.verdict(h, &r)
+	if to.report != "" {
+		fmt.Fprintf(a.out, "report: %s\n", to.report)
+	}
+	if len(left) > 0 {
+		return NotHeld
+	}
+	return Held
+}
+
+func (x files) write(h *history.History, r *Result) error {
+	put := func(path string, do func(io.Writer) error) error {
+		if path == "" {
+			return nil
+		}
+		f, err := os.Create(path)
+		if err != nil {
+			return err
+		}
+		return errors.Join(do(f), f.Close())
+	}
+	return errors.Join(
+		put(x.json, func(w io.Writer) error {
+			e := json.NewEncoder(w)
+			e.SetIndent("", "  ")
+			return e.Encode(r)
+		}),
+		put(x.history, h.Write),
+		put(x.report, func(w io.Writer) error { return show.Report(w, h, r.Verdict, r.Left) }))
+}
+
+func (a *app) verdict(h *history.History, r *Result) {
+	g := r.Verdict.Service
+	fmt.Fprintf(a.out, "\n%s, seed %d: score %.1f (measure %.3f: whole %.3f, worst 10 s %.3f, worst class %.3f; penalties %.2f)\n",
+		r.Scenario, r.Seed, g.Score, g.Measure, g.Whole, g.WorstTen, g.WorstClass, g.Penalties.Sum())
+	fmt.Fprintf(a.out, "%d orders in %d tries and %d attempts; %d tries refused, %d failed; %d effects run\n", g.Orders, g.Tries, g.Attempts, g.Refused, g.Failed, g.Runs)
+	for _, c := range g.Classes {
+		fmt.Fprintf(a.out, "  %-16s %6d orders, %6d within aim, p50 %4d ms, p99 %5d ms, %d tries refused, %d failed\n",
+			c.Class, c.Orders, c.Within, c.P50.Milliseconds(), c.P99.Milliseconds(), c.Refused, c.Failed)
+	}
+	if r.Lab != nil {
+		fmt.Fprintf(a.out, "the lab sent its orders late by %v (p50) and %v (p99)\n", r.Lab.LateP50.Round(10*time.Microsecond), r.Lab.LateP99.Round(10*time.Microsecond))
+	} else {
+		fmt.Fprintf(a.out, "%.0f s of the lab's time in %.2f s\n", h.Events[len(h.Events)-1].At.Seconds(), r.Took)
+	}
+	if r.Held {
+		fmt.Fprintln(a.out, "HELD: the four rules were kept, and all that the scenario asks")
+		return
+	}
+	for _, line := range r.Left {
+		fmt.Fprintln(a.out, "DID NOT HOLD:", line)
+	}
+}
+
+func (a *app) judge(args []string) int {
+	var word string
+	f := flag.NewFlagSet("judge", flag.ContinueOnError)
+	if !a.parse(f, args, &word) {
+		return Misuse
+	}
+	file, err := os.Open(word)
+	if err != nil {
+		return a.fail(Misuse, err)
+	}
+	defer file.Close()
+	h, err := history.Read(file)
+	if err != nil {
+		return a.fail(Misuse, fmt.Errorf("%s: %w", word, err))
+	}
+	v := judge.Judge(h)
+	left := holds.Rules(&v)
+	r := Result{h.Setup.Scenario, h.Setup.Seed, len(left) == 0, left, &v, &real.Own{}, 0, len(h.Events)}
+	a.verdict(h, &r)
+	if len(left) > 0 {
+		return NotHeld
+	}
+	return Held
+}
+
+func (a *app) sweep(args []string) int {
+	f := flag.NewFlagSet("sweep", flag.ContinueOnError)
+	seeds := f.Int("seeds", 500, "how many `timelines`")
+	first := f.Int64("from", 1, "the first `seed`")
+	if !a.parse(f, args, nil) {
+		return Misuse
+	}
+	if *seeds < 1 || *seeds > 1_000_000 {
+		return a.fail(Misuse, errors.New("-seeds: want 1 to 1,000,000"))
+	}
+	start := time.Now()
+	res := sweep.Run(*first, *seeds, nil, func(x sweep.Finding) bool {
+		fmt.Fprintf(a.out, "seed %d breaks %v\nshrunk in %d replays, it still breaks %v:\n\n%s\n", x.Seed, x.Breach, x.Replayed, x.Left, x.TOML())
+		return true
+	})
+	took := time.Since(start)
+	fmt.Fprintf(a.out, "%d timelines, %d tries, %.0f s of the lab's time in %.1f s (%.0f timelines a minute): %d break a rule\n", res.Played, res.Requests,
+		res.Virtual.Seconds(), took.Seconds(), float64(res.Played)/took.Minutes(), len(res.Findings))
+	if len(res.Findings) > 0 {
+		var all []int64
+		for _, x := range res.Findings {
+			all = append(all, x.Seed)
+		}
+		slices.Sort(all)
+		fmt.Fprintln(a.out, "seeds:", all)
+		return NotHeld
+	}
+	return Held
+}
--- /dev/null
+++ b/internal/lab/command/demo.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"runtime"
+	"time"
+
+	"barrowscale/internal/lab/real"
+	"barrowscale/internal/lab/scenario"
+)
+
+// rates that a machine of so many cores carries without being the trouble
+// itself: the lab and three nodes share them.
+const (
+	ratePerCore = 60.0
+	rateMost    = 300.0
+)
+
+// demo is the first look.
+func (a *app) demo(ctx context.Context, args []string) int {
+	f := flag.NewFlagSet("demo", flag.ContinueOnError)
+	seconds := f.Float64("seconds", 30, "how `long`; the faults keep their places in it")
+	rate := f.Float64("rate", 0, "first tries a `second`; 0: fit for this machine")
+	program := f.String("node", "", "the node's `program`; empty: it is built from this source tree")
+	to := files{}
+	to.flags(f)
+	f.Set("report", "ivylab-demo.html")
+	if !a.parse(f, args, nil) {
+		return Misuse
+	}
+	if *seconds < 5 || *seconds > 600 {
+		return a.fail(Misuse, errors.New("-seconds: want 5 to 600"))
+	}
+	if *rate == 0 {
+		*rate = min(rateMost, ratePerCore*float64(runtime.NumCPU()))
+	}
+	s := demoScenario(*seconds, *rate)
+	if err := scenario.Check(s); err != nil {
+		return a.fail(Misuse, err)
+	}
+	fmt.Fprintf(a.out, "One discovery, 12 clip servers in three halls, three nodes as processes, %.0f requests a second for %.0f s.\n", *rate, *seconds)
+	fmt.Fprintln(a.out, "hall-nord.1 drains, later hall-vest.2 goes silent and comes back cold. Ctrl-C ends it.")
+	return a.play(ctx, s, real.Options{}, *program, to, true)
+}
+
+func demoScenario(seconds, rate float64) *scenario.Scenario {
+	at := func(part float64) scenario.Span {
+		return scenario.Span{Duration: time.Duration(part * seconds * float64(time.Second))}
+	}
+	s := &scenario.Scenario{Name: "demo", Seed: 1, Length: at(1), Load: scenario.Load{Rate: rate},
+		Client: scenario.Client{Retries: 2, Honour: 0.85},
+		Faults: []scenario.Fault{
+			{At: at(0.2), For: at(0.25), What: scenario.WhatDrain, Who: []string{"hall-nord.1"}},
+			{At: at(0.5), For: at(0.25), What: scenario.WhatSilent, Who: []string{"hall-vest.2"}},
+		},
+		Must: scenario.Must{Faults: true, Served: 0.5}}
+	for _, hall := range []string{"hall-nord", "hall-syd", "hall-vest"} {
+		s.Halls = append(s.Halls, scenario.Hall{Name: hall, Nodes: 1, Servers: map[string]int{"fast-6": 2, "std-6": 1, "slow-6": 1}})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/lab/history/history.go
@@ -0,0 +1,234 @@
+// Package history records what happened in a lab run: every try of a client,
+// every attempt that reached a clip server, every run of an effect, every word
+// of discovery. All times are read from the lab's one monotonic clock, at the
+// stand-in where the thing happened, so that no node's clock is believed.
+//
+// The rules are checked on a History by package judge.
+package history
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// Effect says what a second execution of a request would do.
+type Effect string
+
+// The three effects of the brief.
+const (
+	Safe   Effect = "safe"   // any number of runs
+	Keyed  Effect = "keyed"  // a pod drops repeats of a key within Limits.KeyWindow
+	Unsafe Effect = "unsafe" // must never run twice
+)
+
+// Class is one row of the brief's class table.
+type Class struct {
+	Name     string        `json:"name"`
+	Share    float64       `json:"share"`    // of all first tries, 0 to 1
+	WorkLow  time.Duration `json:"work_low"` // mean work on a core of speed 1 lies between these
+	WorkHigh time.Duration `json:"work_high"`
+	Aim      time.Duration `json:"aim"`      // an answer later than this is worth nothing
+	Deadline time.Duration `json:"deadline"` // the client's total patience over all its tries
+	Worth    float64       `json:"worth"`
+	Effect   Effect        `json:"effect"`
+}
+
+// Limits are the figures of the four rules.
+type Limits struct {
+	Slack      time.Duration `json:"slack"`       // on every limit of time: what sockets may take
+	DrainGrace time.Duration `json:"drain_grace"` // after the word of a drain
+	ToldLatest time.Duration `json:"told_latest"` // a change counts as told so long after it could be asked for; 0: only when told
+	KeyWindow  time.Duration `json:"key_window"`  // how long a pod remembers a key
+	FallFactor float64       `json:"fall_factor"` // multiple of a cold server's present capacity
+	FallTime   time.Duration `json:"fall_time"`   // the window over which it counts
+	FallSpare  time.Duration `json:"fall_spare"`  // work that a window may hold beyond it: one request is no burst
+}
+
+// Server is what the judge must know of a clip server.
+type Server struct {
+	Name string `json:"name"`
+	Hall string `json:"hall"`
+	Kind string `json:"kind"`
+	Pod  int    `json:"pod"`
+}
+
+// Node is a node of the run.
+type Node struct {
+	Name string `json:"name"`
+	Hall string `json:"hall"`
+}
+
+// Setup is what does not change during a run.
+type Setup struct {
+	Scenario string        `json:"scenario"`
+	Seed     int64         `json:"seed"`
+	Length   time.Duration `json:"length"` // of the load; the run goes on until all is answered
+	Classes  []Class       `json:"classes"`
+	Servers  []Server      `json:"servers"`
+	Nodes    []Node        `json:"nodes"`
+	Limits   Limits        `json:"limits"`
+}
+
+// Kind tells what an Event is.
+type Kind string
+
+// The kinds. The fields that each uses stand behind it.
+const (
+	Try        Kind = "try"        // Order, Try, Class, Node, Number, Deadline: the request's last byte is written
+	Answer     Kind = "answer"     // Try, Status, Server: the answer's last byte, or the end of waiting for it
+	Extra      Kind = "extra"      // Try: more came on the connection behind the answer
+	Attempt    Kind = "attempt"    // Try, Node, Server, Work, First, Verdict: its last byte reached a clip server
+	Run        Kind = "run"        // Try, Server, Work, Key: the effect began
+	Repeat     Kind = "repeat"     // Try, Server, Key: dropped, as the pod had met the key
+	Probe      Kind = "probe"      // Node, Server, Work
+	Connect    Kind = "connect"    // Node, Server: a connection came up
+	Disconnect Kind = "disconnect" // Node, Server
+	Start      Kind = "start"      // Server, Capacity, Cores, ColdFrom, ColdTime: a process started
+	Fell       Kind = "fell"       // Server: pushed over
+	Change     Kind = "change"     // Server, Lifecycle: discovery knows
+	Told       Kind = "told"       // Node, Server, Lifecycle: discovery's answer was written to that node
+	NodeUp     Kind = "node-up"    // Node: it answered /up
+	NodeTerm   Kind = "node-term"  // Node: told to end
+	NodeKilled Kind = "node-kill"  // Node: killed outright
+	NodeEnded  Kind = "node-end"   // Node: it ended by itself
+	Message    Kind = "message"    // Node, Bytes: a datagram to one receiver
+	Spoilt     Kind = "spoilt"     // Try, Server: its answer is spoilt on purpose
+	Slow       Kind = "slow"       // Try: its client reads the answer slowly
+	Forgot     Kind = "forgot"     // discovery began again at a lower version
+	Fault      Kind = "fault"      // Note: a fault of the timeline begins
+	FaultEnd   Kind = "fault-end"  // Note
+)
+
+// Status is how a try ended for its client.
+type Status string
+
+// The statuses.
+const (
+	Served      Status = "served"
+	Refused     Status = "refused"     // 429 or 503
+	Failed      Status = "failed"      // any other whole answer
+	Wrong       Status = "wrong"       // a 200 with what no clip server made for this try
+	Broken      Status = "broken"      // the connection ended with no whole answer
+	GaveUp      Status = "gave-up"     // nothing until the client's time was over
+	Left        Status = "left"        // the client went away early, of its own will
+	Unreachable Status = "unreachable" // no node took it
+)
+
+// Verdict is what a clip server did with an attempt.
+type Verdict string
+
+// The verdicts.
+const (
+	Taken  Verdict = "taken"       // it may run
+	Turned Verdict = "turned-away" // answered with Not-Started: it never runs
+)
+
+// Event is one thing that happened. Which fields count depends on Kind.
+type Event struct {
+	At        time.Duration `json:"at"` // since the lab's start
+	Kind      Kind          `json:"kind"`
+	Order     string        `json:"order,omitempty"` // the client's request over all its tries
+	Try       string        `json:"try,omitempty"`   // Request-Id
+	Number    int           `json:"number,omitempty"`
+	Class     string        `json:"class,omitempty"`
+	Node      string        `json:"node,omitempty"`
+	Server    string        `json:"server,omitempty"`
+	Key       string        `json:"key,omitempty"`
+	Status    Status        `json:"status,omitempty"`
+	Verdict   Verdict       `json:"verdict,omitempty"`
+	Lifecycle string        `json:"lifecycle,omitempty"`
+	Deadline  time.Duration `json:"deadline,omitempty"` // a point in time, like At
+	First     time.Duration `json:"first,omitempty"`    // when the first byte was sent, less delay that the lab added
+	Work      time.Duration `json:"work,omitempty"`     // on a core of speed 1
+	Capacity  float64       `json:"capacity,omitempty"` // cores times speed, when warm
+	Cores     int           `json:"cores,omitempty"`
+	ColdFrom  float64       `json:"cold_from,omitempty"`
+	ColdTime  time.Duration `json:"cold_time,omitempty"`
+	Bytes     int           `json:"bytes,omitempty"`
+	Note      string        `json:"note,omitempty"`
+}
+
+// History is one run.
+type History struct {
+	Setup  Setup
+	Events []Event // in order of At
+}
+
+// MaxEvents bounds a Recorder: about 200 MB, an hour of the brief's day.
+const MaxEvents = 2_000_000
+
+// Recorder collects events from many goroutines. Its zero value is ready.
+type Recorder struct {
+	mu      sync.Mutex
+	events  []Event
+	dropped int
+	watch   func(Event)
+}
+
+// Watch calls f with every further event, under the recorder's lock. It must
+// be set before the first Add.
+func (r *Recorder) Watch(f func(Event)) { r.watch = f }
+
+// Add records an event. Past MaxEvents it is counted and dropped.
+func (r *Recorder) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.watch != nil {
+		r.watch(e)
+	}
+	if len(r.events) >= MaxEvents {
+		r.dropped++
+		return
+	}
+	r.events = append(r.events, e)
+}
+
+// Take returns the events in order of time and how many were dropped.
+func (r *Recorder) Take() ([]Event, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := append([]Event(nil), r.events...)
+	Sort(out)
+	return out, r.dropped
+}
+
+// Write writes a history as JSON lines, the setup first.
+func (h *History) Write(w io.Writer) error {
+	b := bufio.NewWriter(w)
+	enc := json.NewEncoder(b)
+	if err := enc.Encode(h.Setup); err != nil {
+		return fmt.Errorf("history: %w", err)
+	}
+	for i := range h.Events {
+		if err := enc.Encode(&h.Events[i]); err != nil {
+			return fmt.Errorf("history: %w", err)
+		}
+	}
+	return b.Flush()
+}
+
+// Read reads what Write wrote. An event of a line that is cut short is an
+// error that names the line.
+func Read(r io.Reader) (*History, error) {
+	dec := json.NewDecoder(bufio.NewReader(r))
+	h := &History{}
+	if err := dec.Decode(&h.Setup); err != nil {
+		return nil, fmt.Errorf("history: line 1: %w", err)
+	}
+	for line := 2; ; line++ {
+		var e Event
+		if err := dec.Decode(&e); err == io.EOF {
+			return h, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("history: line %d: %w", line, err)
+		}
+		if len(h.Events) >= MaxEvents {
+			return nil, fmt.Errorf("history: more than %d events", MaxEvents)
+		}
+		h.Events = append(h.Events, e)
+	}
+}
--- /dev/null
+++ b/internal/lab/judge/judge_test.go
@@ -0,0 +1,265 @@
+package judge
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/load"
+)
+
+const ms = time.Millisecond
+
+// sound gives a history that breaks no rule: one request of each class, a
+// drain and a cold start.
+func sound() *history.History {
+	h := &history.History{Setup: history.Setup{Length: 20 * time.Second, Classes: load.Classes, Limits: load.Limits,
+		Servers: []history.Server{{Name: "a.1", Hall: "a", Pod: 0}, {Name: "a.2", Hall: "a", Pod: 0}, {Name: "b.1", Hall: "b", Pod: 1}},
+		Nodes:   []history.Node{{Name: "n0", Hall: "a"}}}}
+	at := func(t time.Duration, e history.Event) {
+		e.At = t
+		if e.Kind == history.Attempt {
+			e.First, e.Node, e.Work = t, "n0", 100*ms
+			if e.Verdict == "" {
+				e.Verdict = history.Taken
+			}
+		}
+		h.Events = append(h.Events, e)
+	}
+	for _, s := range h.Setup.Servers {
+		at(0, history.Event{Kind: history.Start, Server: s.Name, Capacity: 6, Cores: 6})
+	}
+	at(0, history.Event{Kind: history.NodeUp, Node: "n0"})
+	one := func(t time.Duration, id, class string, st history.Status, servers ...string) {
+		at(t, history.Event{Kind: history.Try, Order: id, Try: id, Class: class, Node: "n0", Deadline: t + 800*ms})
+		for i, s := range servers {
+			at(t+time.Duration(1+i)*ms, history.Event{Kind: history.Attempt, Try: id, Server: s})
+			at(t+time.Duration(1+i)*ms, history.Event{Kind: history.Run, Try: id, Server: s, Work: 100 * ms})
+		}
+		last := ""
+		if st == history.Served {
+			last = servers[len(servers)-1]
+		}
+		at(t+100*ms, history.Event{Kind: history.Answer, Try: id, Status: st, Server: last})
+	}
+	one(1000*ms, "safe", "viewer-clip", history.Served, "a.1")
+	one(2000*ms, "keyed", "tag-event", history.Served, "a.1")
+	one(3000*ms, "unsafe", "cut-order", history.Served, "b.1")
+	one(4000*ms, "refused", "cut-order", history.Refused)
+	one(5000*ms, "failed", "cut-order", history.Failed, "a.2")
+	at(6000*ms, history.Event{Kind: history.Told, Node: "n0", Server: "a.2", Lifecycle: "draining"})
+	one(6300*ms, "early", "viewer-clip", history.Served, "a.2")
+	at(8000*ms, history.Event{Kind: history.Start, Server: "b.1", Capacity: 6, Cores: 6, ColdFrom: 0.32, ColdTime: 8300 * ms})
+	one(8500*ms, "cold", "viewer-clip", history.Served, "b.1")
+	at(15*time.Second, history.Event{Kind: history.FaultEnd})
+	return h
+}
+
+// edit finds the first event that matches and lets do change it.
+func edit(h *history.History, kind history.Kind, id string, do func(*history.Event)) {
+	for i := range h.Events {
+		if e := &h.Events[i]; e.Kind == kind && (e.Try == id || id == "") {
+			do(e)
+			return
+		}
+	}
+	panic("no such event: " + string(kind) + " " + id)
+}
+
+func add(h *history.History, e history.Event) {
+	h.Events = append(h.Events, e)
+	history.Sort(h.Events)
+}
+
+func TestASoundHistoryIsKept(t *testing.T) {
+	v := Judge(sound())
+	for _, b := range v.Breaches {
+		t.Error(b)
+	}
+	if s := v.Service; s.Orders != 7 || s.Refused != 1 || s.Failed != 1 || s.Runs != 6 {
+		t.Errorf("counted %+v", s)
+	}
+}
+
+// Every row doctors the sound history so that one rule is broken, and names a
+// part of what the judge has to say.
+func TestDoctoredHistoriesAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		rule   Rule
+		say    string
+		doctor func(*history.History)
+	}{
+		{"no answer at all", NoRequestLost, "never answered", func(h *history.History) {
+			for i, e := range h.Events {
+				if e.Kind == history.Answer && e.Try == "safe" {
+					h.Events = append(h.Events[:i:i], h.Events[i+1:]...)
+					return
+				}
+			}
+		}},
+		{"two answers", NoRequestLost, "2 final answers", func(h *history.History) {
+			add(h, history.Event{At: 1200 * ms, Kind: history.Answer, Try: "safe", Status: history.Served})
+		}},
+		{"late", NoRequestLost, "after its client's time", func(h *history.History) {
+			edit(h, history.Try, "safe", func(e *history.Event) { e.Deadline = e.At + 10*ms })
+		}},
+		{"cut off", NoRequestLost, "no whole answer", func(h *history.History) {
+			edit(h, history.Answer, "safe", func(e *history.Event) { e.Status = history.Broken })
+		}},
+		{"given up on", NoRequestLost, "in its client's time", func(h *history.History) {
+			edit(h, history.Answer, "safe", func(e *history.Event) { e.Status = history.GaveUp })
+		}},
+		{"somebody else's body", NoRequestLost, "no server made", func(h *history.History) {
+			edit(h, history.Answer, "safe", func(e *history.Event) { e.Status = history.Wrong })
+		}},
+		{"sent on after the answer", NoRequestLost, "after its final answer", func(h *history.History) {
+			add(h, history.Event{At: 1200 * ms, First: 1200 * ms, Kind: history.Attempt, Try: "safe", Node: "n0", Server: "a.2", Verdict: history.Taken})
+		}},
+		{"more behind the answer", NoRequestLost, "behind the final answer", func(h *history.History) {
+			add(h, history.Event{At: 1101 * ms, Kind: history.Extra, Try: "safe"})
+		}},
+		{"a kill before does not excuse", NoRequestLost, "no whole answer", func(h *history.History) {
+			edit(h, history.Answer, "safe", func(e *history.Event) { e.Status = history.Broken })
+			add(h, history.Event{At: 500 * ms, Kind: history.NodeKilled, Node: "n0"})
+			add(h, history.Event{At: 900 * ms, Kind: history.NodeUp, Node: "n0"})
+		}},
+		{"unsafe sent twice", NoEffectTwice, "had taken it", func(h *history.History) {
+			add(h, history.Event{At: 3050 * ms, First: 3050 * ms, Kind: history.Attempt, Try: "unsafe", Node: "n0", Server: "a.1", Verdict: history.Taken})
+		}},
+		{"keyed out of its pod", NoEffectTwice, "left its pod", func(h *history.History) {
+			add(h, history.Event{At: 2050 * ms, First: 2050 * ms, Kind: history.Attempt, Try: "keyed", Node: "n0", Server: "b.1", Verdict: history.Taken})
+		}},
+		{"keyed after its window", NoEffectTwice, "sent again", func(h *history.History) {
+			edit(h, history.Answer, "keyed", func(e *history.Event) { e.At = 11 * time.Second })
+			edit(h, history.Try, "keyed", func(e *history.Event) { e.Deadline = 12 * time.Second })
+			add(h, history.Event{At: 10200 * ms, First: 10200 * ms, Kind: history.Attempt, Try: "keyed", Node: "n0", Server: "a.1", Verdict: history.Taken})
+		}},
+		{"an effect that ran twice", NoEffectTwice, "ran 2 times", func(h *history.History) {
+			add(h, history.Event{At: 3050 * ms, Kind: history.Run, Try: "unsafe", Server: "a.1"})
+		}},
+		{"a refusal of what may have run", NoEffectTwice, "refused although", func(h *history.History) {
+			edit(h, history.Answer, "failed", func(e *history.Event) { e.Status = history.Refused })
+		}},
+		{"a keyed refusal of what may have run", NoEffectTwice, "refused although", func(h *history.History) {
+			edit(h, history.Answer, "keyed", func(e *history.Event) { e.Status = history.Refused })
+		}},
+		{"late to a drain", DrainsKept, "after the word", func(h *history.History) {
+			edit(h, history.Told, "", func(e *history.Event) { e.At = 5700 * ms })
+			history.Sort(h.Events)
+		}},
+		{"late to one that is gone", DrainsKept, "after the word", func(h *history.History) {
+			edit(h, history.Told, "", func(e *history.Event) { e.At, e.Lifecycle = 5700*ms, "removed" })
+			history.Sort(h.Events)
+		}},
+		{"up for another node only", DrainsKept, "after the word", func(h *history.History) {
+			edit(h, history.Told, "", func(e *history.Event) { e.At = 5700 * ms })
+			add(h, history.Event{At: 5800 * ms, Kind: history.Told, Node: "n1", Server: "a.2", Lifecycle: "up"})
+		}},
+		{"never asked", DrainsKept, "after the word", func(h *history.History) {
+			h.Setup.Limits.ToldLatest = time.Second
+			for i := range h.Events {
+				if h.Events[i].Kind == history.Told {
+					h.Events[i] = history.Event{At: 4500 * ms, Kind: history.Change, Server: "a.2", Lifecycle: "draining"}
+				}
+			}
+			history.Sort(h.Events)
+		}},
+		{"a burst at a cold server", ColdNotPushed, "was sent", func(h *history.History) {
+			for i := range 60 {
+				add(h, history.Event{At: 8500*ms + time.Duration(i)*ms, Kind: history.Attempt, Try: "burst", Node: "n0", Server: "b.1", Work: 100 * ms})
+			}
+		}},
+		{"half of it from another node", ColdNotPushed, "was sent", func(h *history.History) {
+			for i := range 60 {
+				add(h, history.Event{At: 8500*ms + time.Duration(i)*ms, Kind: history.Attempt, Try: "burst", Node: []string{"n0", "n1"}[i%2], Server: "b.1", Work: 100 * ms})
+			}
+		}},
+		{"a burst of probes", ColdNotPushed, "was sent", func(h *history.History) {
+			for i := range 700 {
+				add(h, history.Event{At: 8500*ms + time.Duration(i)*ms/10, Kind: history.Probe, Node: "n0", Server: "b.1", Work: 10 * ms})
+			}
+		}},
+		{"fallen over", ColdNotPushed, "fell over", func(h *history.History) {
+			add(h, history.Event{At: 9 * time.Second, Kind: history.Fell, Server: "b.1"})
+		}},
+	} {
+		h := sound()
+		c.doctor(h)
+		v := Judge(h)
+		if v.Counts[c.rule] == 0 || len(v.Counts) != 1 {
+			t.Errorf("%s: want rule %d broken alone, have %v", c.name, c.rule, v.Counts)
+			continue
+		}
+		if got := v.Breaches[0].String(); !strings.Contains(got, c.say) {
+			t.Errorf("%s: said %q, want %q", c.name, got, c.say)
+		}
+	}
+}
+
+// Guards against a judge that fails what the rules allow.
+func TestWhatIsAllowedIsNotCaught(t *testing.T) {
+	for name, doctor := range map[string]func(*history.History){
+		"cut off by a kill": func(h *history.History) {
+			edit(h, history.Answer, "safe", func(e *history.Event) { e.Status = history.Broken })
+			add(h, history.Event{At: 1050 * ms, Kind: history.NodeKilled, Node: "n0"})
+		},
+		"cut off by a process that was dying": func(h *history.History) {
+			edit(h, history.Answer, "safe", func(e *history.Event) { e.Status = history.Broken })
+			add(h, history.Event{At: 990 * ms, Kind: history.NodeKilled, Node: "n0"})
+			add(h, history.Event{At: 1900 * ms, Kind: history.NodeUp, Node: "n0"})
+		},
+		"unsafe again after it was turned away": func(h *history.History) {
+			add(h, history.Event{At: 3000 * ms, First: 3000 * ms, Kind: history.Attempt, Try: "unsafe", Node: "n0", Server: "a.1", Verdict: history.Turned})
+		},
+		"keyed again in its pod": func(h *history.History) {
+			add(h, history.Event{At: 2050 * ms, First: 2050 * ms, Kind: history.Attempt, Try: "keyed", Node: "n0", Server: "a.2", Verdict: history.Taken})
+		},
+		"delay of a link that the lab put there": func(h *history.History) {
+			edit(h, history.Told, "", func(e *history.Event) { e.At = 5750 * ms })
+			edit(h, history.Attempt, "early", func(e *history.Event) { e.First = 6200 * ms })
+			history.Sort(h.Events)
+		},
+		"up again before": func(h *history.History) {
+			edit(h, history.Told, "", func(e *history.Event) { e.At = 5000 * ms })
+			add(h, history.Event{At: 5900 * ms, Kind: history.Told, Node: "n0", Server: "a.2", Lifecycle: "up"})
+		},
+		"one heavy request at a cold server": func(h *history.History) {
+			add(h, history.Event{At: 8600 * ms, Kind: history.Attempt, Try: "heavy", Node: "n0", Server: "b.1", Work: 9 * time.Second})
+		},
+	} {
+		h := sound()
+		doctor(h)
+		if v := Judge(h); !v.Kept() {
+			t.Errorf("%s: %v", name, v.Breaches)
+		}
+	}
+}
+
+func TestCapacityIsTheAreaUnderTheRamp(t *testing.T) {
+	s := history.Event{At: 10 * time.Second, Capacity: 6, ColdFrom: 0.5, ColdTime: 10 * time.Second}
+	for _, c := range []struct {
+		from, to time.Duration
+		want     float64
+	}{{10 * time.Second, 20 * time.Second, 45}, {9 * time.Second, 10 * time.Second, 3}, {20 * time.Second, 21 * time.Second, 6},
+		{19 * time.Second, 21 * time.Second, 6 * (0.975 + 1)}, {8 * time.Second, 12 * time.Second, 6 * (1 + 1.1)}} {
+		if got := capacity(s, c.from, c.to); got < c.want-1e-9 || got > c.want+1e-9 {
+			t.Errorf("capacity from %v to %v is %v, want %v", c.from, c.to, got, c.want)
+		}
+	}
+}
+
+func TestTheMeasureIsTheBriefs(t *testing.T) {
+	h := sound()
+	v := Judge(h)
+	// Asked: 3 viewer clips, 1 tag, 3 orders, each worth 1; one order refused and one failed.
+	if s := v.Service; s.Whole != 5.0/7 || s.WorstClass != 1.0/3 {
+		t.Errorf("whole %v, worst class %v", s.Whole, s.WorstClass)
+	}
+	edit(h, history.Answer, "keyed", func(e *history.Event) { e.At += 2 * time.Second })
+	edit(h, history.Try, "keyed", func(e *history.Event) { e.Deadline += 4 * time.Second })
+	if s := Judge(h).Service; s.Whole != 4.0/7 || s.WorstClass != 0 {
+		t.Errorf("past its aim: whole %v, worst class %v", s.Whole, s.WorstClass)
+	}
+}
--- /dev/null
+++ b/internal/lab/link/tcp.go
@@ -0,0 +1,290 @@
+// Package link puts faults on the network between two parties: a proxy for any
+// TCP pair and one for datagrams. It knows nothing of what they say.
+package link
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// State is what a link does beside delay.
+type State string
+
+// The states.
+const (
+	Open      State = ""
+	HalfOpen  State = "half-open"  // what the dialler sends is lost; the other way works
+	Reset     State = "reset"      // all is reset, and new connections are
+	BlackHole State = "black-hole" // nothing passes either way, nobody is told
+)
+
+// Shape is how a link behaves.
+type Shape struct {
+	Delay time.Duration // one way
+	Loss  float64       // share of segments that cost a retransmission
+	Rate  int           // bytes a second each way; 0: no limit
+	State State
+}
+
+const (
+	segment    = 16 << 10               // bytes that pass at once
+	inFlight   = 64                     // segments on the way at once; then the sender waits
+	retransmit = 200 * time.Millisecond // what a lost segment costs: TCP's least time-out
+	maxConns   = 4096                   // pairs of one proxy; beyond it a connection is closed at once
+	dialTime   = 2 * time.Second
+)
+
+// TCP is a proxy in front of one address. Its methods may be called from
+// several goroutines.
+type TCP struct {
+	listener net.Listener
+	target   func() string
+	clock    func() time.Duration
+	mu       sync.Mutex
+	shape    Shape
+	changed  chan struct{} // closed when the shape changes
+	pairs    map[*pair]bool
+	byLocal  map[string]*pair // by the address that the target sees
+	closed   bool
+	Refused  atomic.Int64 // connections over the bound
+}
+
+// pair is one connection through the proxy.
+type pair struct {
+	near, far net.Conn
+	entered   atomic.Int64 // when the first byte of the latest burst of the dialler came
+	answered  atomic.Bool  // the other side has spoken since
+	cut       atomic.Bool  // it is reset: what is still on its way is lost
+}
+
+// NewTCP listens on a loopback address of its own and passes connections on
+// to target, which is asked anew for each.
+func NewTCP(target func() string, clock func() time.Duration) (*TCP, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &TCP{listener: l, target: target, clock: clock, changed: make(chan struct{}), pairs: map[*pair]bool{}, byLocal: map[string]*pair{}}
+	go p.accept()
+	return p, nil
+}
+
+// Addr is where it listens.
+func (p *TCP) Addr() string { return p.listener.Addr().String() }
+
+// Set changes the link for what passes from now on. What stood on a link that
+// was reset, half-open or a black hole is reset when that begins or ends.
+func (p *TCP) Set(s Shape) {
+	p.mu.Lock()
+	old := p.shape
+	p.shape = s
+	var cut []net.Conn
+	if s.State == Reset || old.State != Open && s.State == Open {
+		cut = p.all()
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.mu.Unlock()
+	for _, c := range cut {
+		abort(c)
+	}
+}
+
+// all lists every connection. The caller holds the lock.
+func (p *TCP) all() []net.Conn {
+	var out []net.Conn
+	for c := range p.pairs {
+		c.cut.Store(true)
+		if out = append(out, c.near); c.far != nil {
+			out = append(out, c.far)
+		}
+	}
+	return out
+}
+
+// Entered tells when the first byte of the latest burst of a connection came
+// to the proxy, by the address from which the target sees it.
+func (p *TCP) Entered(remote string) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.byLocal[remote]
+	if c == nil {
+		return 0, false
+	}
+	return time.Duration(c.entered.Load()), true
+}
+
+// Close ends the proxy and all its connections.
+func (p *TCP) Close() {
+	p.mu.Lock()
+	p.closed = true
+	all := p.all()
+	p.mu.Unlock()
+	p.listener.Close()
+	for _, c := range all {
+		abort(c)
+	}
+}
+
+func (p *TCP) now() (Shape, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shape, p.changed
+}
+
+func (p *TCP) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go p.serve(near)
+		}
+	}
+}
+
+func (p *TCP) serve(near net.Conn) {
+	defer near.Close()
+	if s, _ := p.now(); s.State == Reset {
+		abort(near)
+		return
+	}
+	c := &pair{near: near}
+	c.answered.Store(true)
+	p.mu.Lock()
+	if p.closed || len(p.pairs) >= maxConns {
+		p.mu.Unlock()
+		p.Refused.Add(1)
+		abort(near)
+		return
+	}
+	p.pairs[c] = true
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.pairs, c)
+		if c.far != nil {
+			delete(p.byLocal, c.far.LocalAddr().String())
+		}
+		p.mu.Unlock()
+	}()
+	if !p.hold(BlackHole) { // the way in is a black hole: nothing comes up behind it
+		return
+	}
+	far, err := net.DialTimeout("tcp", p.target(), dialTime)
+	if err != nil {
+		abort(near)
+		return
+	}
+	defer far.Close()
+	p.mu.Lock()
+	c.far = far
+	p.byLocal[far.LocalAddr().String()] = c
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { p.pass(c, near, far, true) })
+	wg.Go(func() { p.pass(c, far, near, false) })
+	wg.Wait()
+}
+
+// hold waits while the link is in one of the states; it gives false once the
+// proxy is closed.
+func (p *TCP) hold(states ...State) bool {
+	for {
+		s, changed := p.now()
+		held := false
+		for _, h := range states {
+			held = held || s.State == h
+		}
+		p.mu.Lock()
+		closed := p.closed
+		p.mu.Unlock()
+		if closed || !held {
+			return !closed
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Second): // looks whether it was closed
+		}
+	}
+}
+
+// parcel is a segment on its way.
+type parcel struct {
+	data []byte
+	due  time.Time
+}
+
+// pass carries one way until it ends. Segments keep their order, so one that
+// is lost delays those behind it.
+func (p *TCP) pass(c *pair, from, to net.Conn, out bool) {
+	way := make(chan parcel, inFlight)
+	go func() {
+		defer close(way)
+		last := time.Time{}
+		for {
+			buf := make([]byte, segment)
+			n, err := from.Read(buf)
+			if n > 0 {
+				if out && c.answered.CompareAndSwap(true, false) {
+					c.entered.Store(int64(p.clock()))
+				} else if !out {
+					c.answered.Store(true)
+				}
+				s, _ := p.now()
+				due := time.Now().Add(s.Delay)
+				if s.Loss > 0 && rand.Float64() < s.Loss {
+					due = due.Add(retransmit)
+				}
+				if s.Rate > 0 {
+					due = later(due, last).Add(time.Duration(float64(n) / float64(s.Rate) * 1e9))
+				}
+				last = later(due, last)
+				way <- parcel{buf[:n], last}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for x := range way {
+		time.Sleep(time.Until(x.due))
+		lost := []State{BlackHole}
+		if out {
+			lost = append(lost, HalfOpen)
+		}
+		if !p.hold(lost...) || c.cut.Load() {
+			abort(from)
+			break
+		}
+		if _, err := to.Write(x.data); err != nil {
+			abort(from) // so that the reader ends, and its peer hears of it
+			break
+		}
+	}
+	if t, ok := to.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	for range way {
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// abort closes a connection with a reset.
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
--- /dev/null
+++ b/internal/lab/link/udp.go
@@ -0,0 +1,91 @@
+package link
+
+import (
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxDatagrams bounds what is on its way through one relay.
+const maxDatagrams = 1024
+
+// UDP relays datagrams to one party. Each sender has a port of its own here,
+// from which the receiver sees its datagrams come: senders are told apart by
+// address, as the protocol page wants it. It may be used by several
+// goroutines.
+type UDP struct {
+	conn  net.PacketConn
+	mu    sync.Mutex
+	to    func() []Hop
+	shape Shape
+	told  func(bytes, receivers int)
+	way   atomic.Int64
+
+	Dropped atomic.Int64 // over the bound, or lost on purpose
+}
+
+// Hop says through which socket a datagram goes on, and to which address.
+type Hop struct {
+	From net.PacketConn
+	To   net.Addr
+}
+
+// NewUDP makes a relay on a loopback address of its own. For each datagram
+// that comes, to says where it goes on; nowhere drops it. told, if not nil,
+// hears of each that came and to how many it goes.
+func NewUDP(to func() []Hop, told func(bytes, receivers int)) (*UDP, error) {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	u := &UDP{conn: c, to: to, told: told}
+	go u.relay()
+	return u, nil
+}
+
+// Addr is where it listens.
+func (u *UDP) Addr() string { return u.conn.LocalAddr().String() }
+
+// Conn is the socket itself: what is sent through it comes from Addr.
+func (u *UDP) Conn() net.PacketConn { return u.conn }
+
+// Set changes the link; any state but Open drops all.
+func (u *UDP) Set(s Shape) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.shape = s
+}
+
+// Close ends the relay.
+func (u *UDP) Close() { u.conn.Close() }
+
+func (u *UDP) relay() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := u.conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		hops := u.to()
+		if u.told != nil {
+			u.told(n, len(hops))
+		}
+		u.mu.Lock()
+		s := u.shape
+		u.mu.Unlock()
+		data := append([]byte(nil), buf[:n]...)
+		for _, h := range hops {
+			if s.State != Open || rand.Float64() < s.Loss || u.way.Load() >= maxDatagrams {
+				u.Dropped.Add(1)
+				continue
+			}
+			u.way.Add(1)
+			time.AfterFunc(s.Delay, func() {
+				defer u.way.Add(-1)
+				h.From.WriteTo(data, h.To)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/load/stream.go
@@ -0,0 +1,138 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/scenario"
+)
+
+// Order is a client's request over all its tries.
+type Order struct {
+	ID     string
+	At     time.Duration // of the first try
+	Class  *history.Class
+	Hall   string
+	Key    string        // for keyed classes
+	Work   time.Duration // on a core of speed 1, at whatever server
+	Slow   bool          // its client reads slowly
+	Honour bool          // its client follows Retry-After
+	Retry  [2]float64    // draws for the waits before its own retries
+}
+
+// Stream gives the orders of a scenario one by one, the same for the same
+// seed.
+type Stream struct {
+	s       *scenario.Scenario
+	classes []history.Class
+	total   float64
+	rng     *rand.Rand
+	at      time.Duration
+	n       int
+	halls   []string
+}
+
+// NewStream begins a stream.
+func NewStream(s *scenario.Scenario, seed int64) *Stream {
+	st := &Stream{s: s, classes: ClassesOf(s), rng: rand.New(rand.NewPCG(uint64(seed), 0x6c6f6164))}
+	for _, c := range st.classes {
+		st.total += c.Share
+	}
+	for _, h := range s.Halls {
+		if h.Nodes > 0 {
+			st.halls = append(st.halls, h.Name)
+		}
+	}
+	return st
+}
+
+// ClassesOf gives the class table with a scenario's own shares and work.
+func ClassesOf(s *scenario.Scenario) []history.Class {
+	out := append([]history.Class(nil), Classes...)
+	for i := range out {
+		if part, set := s.Load.Shares[out[i].Name]; set {
+			out[i].Share = part
+		}
+		out[i].WorkLow = time.Duration(float64(out[i].WorkLow) * s.Load.WorkPer)
+		out[i].WorkHigh = time.Duration(float64(out[i].WorkHigh) * s.Load.WorkPer)
+	}
+	return out
+}
+
+// rate is the rate of first tries at a time.
+func (st *Stream) rate(at time.Duration) float64 {
+	l := st.s.Load
+	if l.RampTo == 0 {
+		return l.Rate
+	}
+	return l.Rate + (l.RampTo-l.Rate)*at.Seconds()/st.s.Length.Seconds()
+}
+
+// Next gives the next order; ok is false at the end of the load.
+func (st *Stream) Next() (o Order, ok bool) {
+	st.at += time.Duration(st.rng.ExpFloat64() / st.rate(st.at) * 1e9)
+	if st.at >= st.s.Length.Duration {
+		return Order{}, false
+	}
+	st.n++
+	o = Order{ID: fmt.Sprintf("o%07d", st.n), At: st.at}
+	pick := st.rng.Float64() * st.total
+	for i := range st.classes {
+		if o.Class = &st.classes[i]; pick < o.Class.Share {
+			break
+		}
+		pick -= o.Class.Share
+	}
+	o.Hall = st.halls[st.rng.IntN(len(st.halls))]
+	// Work is lognormal with a coefficient of variation of 1, as the brief gives
+	// a range of means only.
+	const sigma = 0.8326 // sqrt(ln(1 + cv*cv))
+	mean := (o.Class.WorkLow + o.Class.WorkHigh) / 2
+	o.Work = time.Duration(float64(mean) * math.Exp(sigma*st.rng.NormFloat64()-sigma*sigma/2))
+	if o.Class.Effect == history.Keyed {
+		o.Key = fmt.Sprintf("k%016x", st.rng.Uint64())
+	}
+	o.Honour = st.rng.Float64() < st.s.Client.Honour
+	o.Retry = [2]float64{st.rng.Float64(), st.rng.Float64()}
+	hit := st.rng.Float64() // one draw whatever the faults, so that orders do not shift
+	for _, f := range st.s.Faults {
+		if st.at < f.At.Duration || st.at >= f.At.Duration+f.For.Duration || hit >= f.Part {
+			continue
+		}
+		switch {
+		case f.What == scenario.WhatHeavy && f.Class == o.Class.Name:
+			o.Work = time.Duration(f.Factor * float64(mean))
+		case f.What == scenario.WhatSlow:
+			o.Slow = true
+		}
+	}
+	return o, true
+}
+
+// MaxRetryAfter is the longest wait that clients follow.
+const MaxRetryAfter = 2 * time.Second
+
+// Patience is how long a client waits for a try that it sends now: a share of
+// the deadline, and no longer than what is left of that.
+func Patience(s *scenario.Scenario, o *Order, now time.Duration) time.Duration {
+	try := time.Duration(s.Client.TryShare * float64(o.Class.Deadline))
+	return min(try, o.At+o.Class.Deadline-now)
+}
+
+// Again tells whether a client tries again after try number n (0 first) and
+// after what wait. Safe requests are retried after anything that is no answer
+// of worth; others only if the last try cannot have run.
+func Again(s *scenario.Scenario, o *Order, n int, st history.Status, retryAfter, now time.Duration) (wait time.Duration, ok bool) {
+	harmless := st == history.Refused || st == history.Unreachable
+	if n >= s.Client.Retries || st == history.Served || st == history.Left || !harmless && o.Class.Effect != history.Safe {
+		return 0, false
+	}
+	wait = time.Duration((0.5 + o.Retry[n%len(o.Retry)]) * float64(s.Client.Backoff.Duration) * math.Pow(2, float64(n)))
+	if o.Honour && retryAfter > 0 {
+		wait = max(wait, min(retryAfter, MaxRetryAfter))
+	}
+	return wait, now+wait < o.At+o.Class.Deadline
+}
--- /dev/null
+++ b/internal/lab/memory/client.go
@@ -0,0 +1,130 @@
+package memory
+
+import (
+	"fmt"
+	"time"
+
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/load"
+)
+
+// client is one try of an order.
+type client struct {
+	w       *world
+	order   *load.Order
+	number  int
+	try     string
+	node    *node
+	over    bool
+	retryIn time.Duration // what the answer advises
+}
+
+// arrivals plans the next order, and after it the next.
+func (w *world) arrivals(st *load.Stream) {
+	o, ok := st.Next()
+	if !ok {
+		return
+	}
+	w.at(o.At, func() {
+		w.try(&o, 0)
+		w.arrivals(st)
+	})
+}
+
+// deal gives the node that the front sends the next connection of a hall to,
+// or nil. A hall without a node is served by the others.
+func (w *world) deal(hall string) *node {
+	for _, near := range []bool{true, false} {
+		var up []*node
+		for _, n := range w.nodes {
+			if n.dealt && (n.Hall == hall) == near {
+				up = append(up, n)
+			}
+		}
+		if len(up) > 0 {
+			w.turn[hall]++
+			return up[w.turn[hall]%len(up)]
+		}
+	}
+	return nil
+}
+
+// try sends one try. Its time counts from here.
+func (w *world) try(o *load.Order, number int) {
+	c := &client{w: w, order: o, number: number, try: fmt.Sprintf("%s.%d", o.ID, number), node: w.deal(o.Hall)}
+	patience := load.Patience(w.s, o, w.now)
+	if c.node == nil || !c.node.up {
+		c.again(history.Unreachable, 0)
+		return
+	}
+	n, life := c.node, c.node.life
+	deadline := w.now + patience
+	w.record(history.Event{Kind: history.Try, Order: o.ID, Try: c.try, Number: number, Class: o.Class.Name, Node: n.Name, Deadline: deadline, Key: o.Key})
+	w.out(n, c)
+	w.after(w.jitter(w.s.Net.Client.Duration), func() {
+		if n.life == life {
+			n.arrive(c, deadline-w.now)
+		} else {
+			c.later(0, history.Broken, "", 0)
+		}
+	})
+	w.at(deadline+w.setup.Limits.Slack, func() {
+		if !c.over {
+			c.end(history.GaveUp, "", 0)
+			if n.life == life {
+				n.abandoned(c)
+			}
+		}
+	})
+}
+
+// slowRead is what a slow reader takes for an answer.
+const slowRead = 20 * time.Millisecond
+
+// later brings an answer to the client.
+func (c *client) later(d time.Duration, st history.Status, server string, retryAfter time.Duration) {
+	if c.order.Slow && st == history.Served {
+		c.w.record(history.Event{Kind: history.Slow, Try: c.try})
+		d += slowRead
+	}
+	c.w.after(d, func() { c.end(st, server, retryAfter) })
+}
+
+// end is the final answer as the client has it. A second one is recorded too:
+// it is the judge's to see.
+func (c *client) end(st history.Status, server string, retryAfter time.Duration) {
+	if c.over && st == history.GaveUp {
+		return
+	}
+	c.w.record(history.Event{Kind: history.Answer, Try: c.try, Status: st, Server: server})
+	if !c.over {
+		c.over = true
+		c.again(st, retryAfter)
+	}
+}
+
+func (c *client) again(st history.Status, retryAfter time.Duration) {
+	if wait, ok := load.Again(c.w.s, c.order, c.number, st, retryAfter, c.w.now); ok {
+		c.w.after(wait, func() { c.w.try(c.order, c.number+1) })
+	}
+}
+
+// out notes that a client waits at a node; waiting lists those that still do.
+func (w *world) out(n *node, c *client) {
+	list := w.open[n]
+	if len(list) > 1024 && len(list)%1024 == 0 {
+		w.open[n] = w.waiting(n)
+	}
+	w.open[n] = append(w.open[n], c)
+}
+
+func (w *world) waiting(n *node) []*client {
+	kept := w.open[n][:0]
+	for _, c := range w.open[n] {
+		if !c.over {
+			kept = append(kept, c)
+		}
+	}
+	w.open[n] = kept
+	return kept
+}
--- /dev/null
+++ b/internal/lab/memory/list.go
@@ -0,0 +1,121 @@
+package memory
+
+import (
+	"barrowscale/balance"
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/hosts"
+	"time"
+)
+
+var lifecycles = map[string]balance.ServerState{hosts.Up: balance.Ready, hosts.Draining: balance.Draining, hosts.Removed: balance.Gone}
+
+// news lets discovery learn what is due and tell the watches of it.
+func (w *world) news() {
+	for _, e := range w.registry.Advance(w.now) {
+		w.record(history.Event{Kind: history.Change, Server: e.InstanceID, Lifecycle: e.Lifecycle})
+	}
+	if w.outage {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.up && n.watching && n.sent != w.registry.Generation() {
+			w.tell(n)
+		}
+	}
+}
+
+// tell writes what is new to a node's watch.
+func (w *world) tell(n *node) {
+	l := w.registry.Since(n.sent)
+	n.sent = l.Generation
+	listed := map[string]bool{}
+	for _, e := range l.Instances {
+		listed[e.InstanceID] = true
+		w.record(history.Event{Kind: history.Told, Node: n.Name, Server: e.InstanceID, Lifecycle: e.Lifecycle})
+	}
+	kind := balance.ListChanges
+	if l.Reset {
+		kind = balance.ListFull
+		for _, c := range w.machines {
+			if !listed[c.Name] {
+				w.record(history.Event{Kind: history.Told, Node: n.Name, Server: c.Name, Lifecycle: hosts.Removed})
+			}
+		}
+	}
+	life, watch := n.life, n.watch
+	w.after(w.jitter(w.s.Net.SameHall.Duration), func() {
+		if n.life == life && n.watch == watch {
+			n.known = w.registry.All()
+			n.follow(kind, l)
+		}
+	})
+}
+
+// subscribe starts a node's watch, or ends it.
+func (n *node) subscribe(on bool) {
+	w := n.w
+	n.watch++
+	n.watching = false
+	if !on {
+		return
+	}
+	life, watch := n.life, n.watch
+	still := func() bool { return n.life == life && n.watch == watch }
+	w.after(w.jitter(w.s.Net.SameHall.Duration), func() {
+		switch {
+		case !still():
+		case w.outage:
+			w.after(callTimeout, func() {
+				if still() {
+					n.handle(balance.ListUpdate{Kind: balance.ListFailed})
+				}
+			})
+		default:
+			n.watching, n.sent = true, n.version
+			w.tell(n)
+		}
+	})
+}
+
+// setOutage takes discovery down or up; watches end with it.
+func (w *world) setOutage(down bool) {
+	w.outage = down
+	for _, n := range w.nodes {
+		if down && n.up && n.watching {
+			n.watch++
+			n.watching = false
+			n.handle(balance.ListUpdate{Kind: balance.ListFailed})
+		}
+	}
+}
+
+// follow takes a list: the shell first, so that nothing new goes to a server
+// that drains, then the module.
+func (n *node) follow(kind balance.ListKind, l hosts.List) {
+	n.version = l.Generation
+	u := balance.ListUpdate{Kind: kind, Version: l.Generation}
+	named := map[balance.ServerID]bool{}
+	for _, e := range l.Instances {
+		c := n.w.byName[e.InstanceID]
+		s := n.listed[c.id]
+		if s == nil {
+			s = &listed{machine: c}
+			n.listed[c.id] = s
+		}
+		named[c.id] = true
+		state := lifecycles[e.Lifecycle]
+		s.closed = state != balance.Ready
+		u.Entries = append(u.Entries, balance.Server{ID: c.id, Zone: e.Zone, Kind: e.MachineType, Cell: e.Cell, State: state,
+			Size: e.Weight, StartedAt: time.Duration(e.StartedAtMs) * time.Millisecond})
+	}
+	for _, c := range n.w.machines {
+		s := n.listed[c.id]
+		if s != nil && kind != balance.ListChanges && !named[c.id] {
+			s.closed = true
+		}
+		if s != nil && s.closed {
+			n.dropIdle(c)
+		}
+	}
+	n.handle(u)
+}
--- /dev/null
+++ b/internal/lab/memory/node.go
@@ -0,0 +1,443 @@
+package memory
+
+import (
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/hosts"
+	"barrowscale/internal/lab/nodeconf"
+	"barrowscale/internal/lab/scenario"
+)
+
+const (
+	connectTimeout = 250 * time.Millisecond
+	probeTimeout   = 400 * time.Millisecond
+	callTimeout    = 2200 * time.Millisecond // of a call to discovery
+	acceptTime     = 600 * time.Millisecond  // after the word to end
+	frontNotice    = time.Second             // until the front knows that a node has died
+)
+
+// node is one node: its module, and the shell round it.
+type node struct {
+	scenario.Node
+	w        *world
+	life     int // counts processes
+	up       bool
+	dealt    bool // the front sends it new requests
+	module   *balance.Module
+	requests map[balance.RequestID]*request
+	listed   map[balance.ServerID]*listed
+	pools    map[*machine]*pool
+	version  uint64
+	known    hosts.List // as it had it last
+	watch    int        // counts watches; the one that runs
+	watching bool
+	sent     uint64 // what the watch has been told
+}
+
+// listed is a server as the node knows it.
+type listed struct {
+	*machine
+	closed bool // draining or gone
+}
+
+// pool holds the node's idle connections to one process.
+type pool struct{ life, idle int }
+
+// request is a try that the node has taken.
+type request struct {
+	*client
+	deadline time.Duration
+	attempts []*attempt
+	out      int
+	over     bool
+}
+
+// attempt is one send, or one probe.
+type attempt struct {
+	id      uint64
+	node    *node
+	life    int // of the node
+	request *request
+	number  int
+	server  *listed
+	to      *machine // the process that its connection leads to
+	toLife  int
+	try     string
+	key     string
+	probe   bool
+	sentAt  time.Duration
+	extra   time.Duration // delay that the lab's links have added
+	ended   bool
+	report  *balance.Report
+}
+
+func (n *node) start() {
+	n.life++
+	n.up = true
+	n.module = balance.New(nodeconf.Module(n.w.s, n.Number), int64(n.w.rng.Uint64()>>1))
+	n.requests, n.listed = map[balance.RequestID]*request{}, map[balance.ServerID]*listed{}
+	n.pools, n.watching = map[*machine]*pool{}, false
+	if n.known.Instances == nil {
+		n.known = n.w.registry.All()
+	}
+	n.w.record(history.Event{Kind: history.NodeUp, Node: n.Name})
+	n.dealt = true
+	n.follow(balance.ListCached, n.known)
+}
+
+// kill ends the process outright.
+func (n *node) kill() {
+	n.w.record(history.Event{Kind: history.NodeKilled, Node: n.Name})
+	n.stop()
+	for _, c := range n.clientsOut() {
+		c.later(n.w.jitter(n.w.s.Net.Client.Duration), history.Broken, "", 0)
+	}
+	n.requests = nil
+	n.w.after(frontNotice, func() {
+		if !n.up {
+			n.dealt = false
+		}
+	})
+}
+
+// clientsOut lists the clients that wait for an answer, in order of arrival.
+func (n *node) clientsOut() []*client {
+	var out []*client
+	for _, c := range n.w.waiting(n) {
+		if r := n.requests[balance.RequestID(c.try)]; r != nil && !r.over {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (n *node) stop() {
+	n.life++
+	n.up, n.watching = false, false
+	for _, c := range n.w.machines {
+		for _, id := range append([]uint64(nil), c.order...) {
+			if a := c.out[id]; a != nil && a.node == n {
+				a.ended = true
+				if a.toLife == c.life {
+					n.hangUp(c)
+				}
+				c.left(a)
+			}
+		}
+		if p := n.pools[c]; p != nil && p.life == c.life {
+			for range p.idle {
+				n.hangUp(c)
+			}
+		}
+	}
+	n.pools = map[*machine]*pool{}
+}
+
+// term is a planned restart: taken requests are answered, then it ends.
+func (n *node) term(length time.Duration) {
+	w := n.w
+	w.record(history.Event{Kind: history.NodeTerm, Node: n.Name})
+	life := n.life
+	w.after(acceptTime, func() {
+		if n.life == life {
+			n.dealt = false
+		}
+	})
+	w.after(max(length, acceptTime), func() {
+		if n.life != life {
+			return
+		}
+		for _, c := range n.clientsOut() { // as the shell does at the end of a drain
+			r := n.requests[balance.RequestID(c.try)]
+			n.answer(r, history.Failed, "", 0)
+		}
+		w.record(history.Event{Kind: history.NodeEnded, Node: n.Name})
+		n.stop()
+		w.after(100*time.Millisecond, n.start)
+	})
+}
+
+// handle gives an event to the module and carries out what it wants.
+func (n *node) handle(e balance.Event) {
+	w := n.w
+	actions := n.module.Handle(Unix+w.now, e)
+	if w.mutant != nil {
+		actions = w.mutant(w.now, n.Name, e, actions)
+	}
+	for _, a := range actions {
+		switch a := a.(type) {
+		case balance.Send:
+			n.send(a)
+		case balance.Refuse:
+			if r := n.requests[a.ID]; r != nil {
+				n.answer(r, history.Refused, "", a.HoldOff)
+			}
+		case balance.Fail:
+			if r := n.requests[a.ID]; r != nil {
+				n.answer(r, history.Failed, "", 0)
+			}
+		case balance.CancelAttempt:
+			if r := n.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+				r.attempts[a.Attempt].giveUp(balance.Cancelled)
+			}
+		case balance.SetTimer:
+			life := n.life
+			w.after(a.After, func() {
+				if n.life == life {
+					n.handle(balance.TimerFired{Token: a.Token})
+				}
+			})
+		case balance.Probe:
+			n.probe(a)
+		case balance.SendMessage:
+			n.message(a)
+		case balance.Subscribe:
+			n.subscribe(a.On)
+		case balance.FetchList:
+			n.subscribe(true)
+		case balance.CloseIdle:
+			if l := n.listed[a.Server]; l != nil {
+				n.dropIdle(l.machine)
+			}
+		}
+	}
+}
+
+// arrive takes a client's try.
+func (n *node) arrive(c *client, patience time.Duration) {
+	r := &request{client: c, deadline: n.w.now + patience}
+	n.requests[balance.RequestID(c.try)] = r
+	n.handle(balance.RequestArrived{ID: balance.RequestID(c.try), Class: c.order.Class.Name, Patience: patience})
+}
+
+// answer gives the final answer, once.
+func (n *node) answer(r *request, st history.Status, server string, holdOff time.Duration) {
+	if r.over {
+		return
+	}
+	r.over = true
+	r.client.later(n.w.jitter(n.w.s.Net.Client.Duration), st, server, holdOff)
+	n.forget(r)
+}
+
+func (n *node) forget(r *request) {
+	if r.over && r.out == 0 {
+		delete(n.requests, balance.RequestID(r.try))
+	}
+}
+
+// abandoned tells that a client has closed its connection.
+func (n *node) abandoned(c *client) {
+	r := n.requests[balance.RequestID(c.try)]
+	if r == nil || r.over {
+		return
+	}
+	r.over = true
+	n.handle(balance.RequestAbandoned{ID: balance.RequestID(c.try)})
+	n.forget(r)
+}
+
+func (n *node) send(s balance.Send) {
+	r, l := n.requests[s.ID], n.listed[s.Server]
+	if r == nil || l == nil {
+		return
+	}
+	end := r.deadline
+	if s.Timeout != 0 {
+		end = min(end, n.w.now+s.Timeout)
+	}
+	a := &attempt{node: n, life: n.life, request: r, number: len(r.attempts), server: l, try: r.try, key: r.order.Key, sentAt: n.w.now}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	n.w.after(end-n.w.now, func() { a.giveUp(balance.TimedOut) })
+	a.begin(r.order.Work)
+}
+
+func (n *node) probe(p balance.Probe) {
+	l := n.listed[p.Server]
+	if l == nil {
+		return
+	}
+	a := &attempt{node: n, life: n.life, server: l, probe: true, sentAt: n.w.now}
+	n.w.after(connectTimeout+probeTimeout, func() { a.giveUp(balance.TimedOut) })
+	a.begin(l.model.Machine.Probe)
+}
+
+// begin takes a connection, or opens one, and writes.
+func (a *attempt) begin(work time.Duration) {
+	n, w := a.node, a.node.w
+	w.attempts++
+	a.id = w.attempts
+	a.to = a.server.process()
+	a.toLife = a.to.life
+	delay := w.between(n.Hall, a.to.Hall) + a.to.delay(a)
+	if p := n.pools[a.to]; p != nil && p.life == a.to.life && p.idle > 0 {
+		p.idle--
+		a.write(delay, work)
+		return
+	}
+	switch state := w.links[pair{n, a.to}].state; {
+	case a.to.silent || state == "black-hole":
+		w.after(connectTimeout, func() { a.end(balance.ConnectFailed) })
+	case !a.to.running() || state == "reset":
+		w.after(2*delay, func() { a.end(balance.ConnectFailed) })
+	default:
+		w.after(2*delay, func() { // the connection is up
+			if a.ended || n.life != a.life {
+				return
+			}
+			if a.toLife != a.to.life {
+				a.end(balance.ConnectFailed)
+				return
+			}
+			if !a.to.model.Connect() {
+				w.after(2*delay, func() { a.end(balance.Full) })
+				return
+			}
+			w.record(history.Event{Kind: history.Connect, Node: n.Name, Server: a.to.Name})
+			a.write(delay, work+a.to.model.Machine.Handshake)
+		})
+	}
+}
+
+// write sends the request, unless the server wants nothing new by now or the
+// request is over: guards as the shell's check before the first byte does.
+func (a *attempt) write(delay, work time.Duration) {
+	n, w := a.node, a.node.w
+	if a.server.closed || a.request != nil && a.request.over {
+		n.keep(a.to, a.toLife)
+		a.finish(balance.Moot)
+		return
+	}
+	if w.links[pair{n, a.to}].state == "reset" {
+		w.after(delay, func() { a.end(balance.Reset) })
+		return
+	}
+	w.after(delay, func() {
+		switch state := w.links[pair{n, a.to}].state; {
+		case a.ended:
+			if a.toLife == a.to.life { // its connection was closed behind it: the server may still read it
+				a.to.arriveAbandoned(a, work)
+			}
+		case a.to.silent || state == "black-hole" || state == "half-open":
+			// lost; what stands is reset when the machine is back
+			a.to.out[a.id] = a
+			a.to.order = append(a.to.order, a.id)
+		case a.toLife != a.to.life || !a.to.running():
+			a.back(balance.Reset)
+		default:
+			a.to.arrive(a, work)
+		}
+	})
+}
+
+// back brings an outcome to the node, through the network. A machine that is
+// cut off sends nothing.
+func (a *attempt) back(code balance.OutcomeCode) {
+	w := a.node.w
+	if a.to.silent || w.links[pair{a.node, a.to}].state == "black-hole" {
+		return
+	}
+	delay := w.between(a.node.Hall, a.to.Hall) + a.to.delay(a)
+	w.after(delay, func() { a.end(code) })
+}
+
+// end is the outcome as the node learns it. The connection is kept after a
+// whole answer, and given up after anything else.
+func (a *attempt) end(code balance.OutcomeCode) {
+	n := a.node
+	if a.ended || n.life != a.life {
+		return
+	}
+	switch {
+	case code == balance.OK || code == balance.Full && a.toLife == a.to.life:
+		n.keep(a.to, a.toLife)
+	case code != balance.ConnectFailed && a.toLife == a.to.life:
+		n.hangUp(a.to)
+	}
+	a.finish(code)
+}
+
+// giveUp stops waiting: the connection is closed.
+func (a *attempt) giveUp(code balance.OutcomeCode) {
+	n := a.node
+	if a.ended || n.life != a.life {
+		return
+	}
+	if a.toLife == a.to.life {
+		n.hangUp(a.to)
+	}
+	a.to.left(a)
+	a.finish(code)
+}
+
+// finish tells the module.
+func (a *attempt) finish(code balance.OutcomeCode) {
+	n, r := a.node, a.request
+	a.ended = true
+	took := n.w.now - a.sentAt
+	if a.probe {
+		n.handle(balance.ProbeEnded{Server: a.server.id, Code: code, Elapsed: took, Report: a.report})
+		return
+	}
+	r.out--
+	if code == balance.OK && !r.over {
+		r.over = true
+		r.client.later(n.w.jitter(n.w.s.Net.Client.Duration), history.Served, a.to.Name, 0)
+	}
+	n.handle(balance.AttemptEnded{ID: balance.RequestID(r.try), Attempt: a.number, Server: a.server.id, Over: r.over,
+		Elapsed: took, Code: code})
+	n.forget(r)
+}
+
+// keep puts a connection back for the next request.
+func (n *node) keep(c *machine, life int) {
+	if c.life != life {
+		return
+	}
+	p := n.pools[c]
+	if p == nil || p.life != life {
+		p = &pool{life: life}
+		n.pools[c] = p
+	}
+	for _, l := range n.listed {
+		if l.machine == c && l.closed {
+			n.hangUp(c)
+			return
+		}
+	}
+	p.idle++
+}
+
+func (n *node) hangUp(c *machine) {
+	c.model.Disconnect()
+	n.w.record(history.Event{Kind: history.Disconnect, Node: n.Name, Server: c.Name})
+}
+
+func (n *node) dropIdle(c *machine) {
+	if p := n.pools[c]; p != nil && p.life == c.life {
+		for ; p.idle > 0; p.idle-- {
+			n.hangUp(c)
+		}
+	}
+}
+
+func (n *node) message(m balance.SendMessage) {
+	for _, peer := range n.w.nodes {
+		if peer == n || !m.ToAll && peer.Number != m.To {
+			continue
+		}
+		n.w.record(history.Event{Kind: history.Message, Node: n.Name, Bytes: len(m.Data)})
+		if n.w.rng.Float64() < n.w.s.Net.Lost {
+			continue
+		}
+		life := peer.life
+		n.w.after(n.w.jitter(n.w.s.Net.Messages.Duration), func() {
+			if peer.life == life && peer.up {
+				peer.handle(balance.MessageReceived{From: n.Number, Data: m.Data})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/memory/world.go
@@ -0,0 +1,149 @@
+// Package memory runs a scenario in memory: the decision module of each node
+// against the stand-ins' models, under virtual time. It starts no goroutine
+// and reads no clock; the same scenario and seed give the same history, byte
+// for byte.
+//
+// What the node's shell does on sockets (connections, time-outs, the check
+// before the first byte) is modelled here by node.go as design.md states it;
+// the real shell is tested by package real.
+package memory
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/internal/lab/clip"
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/hosts"
+	"barrowscale/internal/lab/load"
+	"barrowscale/internal/lab/scenario"
+)
+
+// Unix is the Unix time at which the lab's clock reads 0 in memory.
+const Unix = 1_800_000_000 * time.Second
+
+// maxSteps bounds a run: a node that sends for ever must not hang a sweep.
+const maxSteps = 50_000_000
+
+// Mutant changes what a module wants done before it is done. It is how the
+// judge is shown to catch a broken node.
+type Mutant func(now time.Duration, node string, e balance.Event, actions []balance.Action) []balance.Action
+
+// Options of a run.
+type Options struct {
+	Seed   int64  // 0: the scenario's
+	Mutant Mutant // nil: none
+}
+
+// world is one run.
+type world struct {
+	s        *scenario.Scenario
+	rng      *rand.Rand
+	now      time.Duration
+	queue    eventHeap
+	seq      uint64
+	events   []history.Event
+	setup    history.Setup
+	machines []*machine          // by instance number - 1, also replaced ones
+	byName   map[string]*machine // by server name
+	nodes    []*node
+	pods     map[int]*clip.Pod
+	registry *hosts.Registry
+	outage   bool
+	lag      time.Duration
+	turn     map[string]int // the front's round robin, by hall
+	attempts uint64
+	mutant   Mutant
+	open     map[*node][]*client // that wait at a node
+	links    map[pair]link
+}
+
+// Run plays a scenario and gives its history.
+func Run(s *scenario.Scenario, o Options) *history.History {
+	if o.Seed == 0 {
+		o.Seed = s.Seed
+	}
+	w := &world{s: s, rng: rand.New(rand.NewPCG(uint64(o.Seed), 0x6d656d)), byName: map[string]*machine{},
+		pods: map[int]*clip.Pod{}, registry: hosts.NewRegistry(40), turn: map[string]int{}, open: map[*node][]*client{}, links: map[pair]link{}, mutant: o.Mutant, lag: s.Hosts.Lag.Duration}
+	w.setup = history.Setup{Scenario: s.Name, Seed: o.Seed, Length: s.Length.Duration, Classes: load.ClassesOf(s), Limits: load.Limits}
+	for _, x := range s.Servers() {
+		w.addServer(x)
+	}
+	w.registry.Advance(0)
+	for _, x := range s.Nodes() {
+		w.setup.Nodes = append(w.setup.Nodes, history.Node{Name: x.Name, Hall: x.Hall})
+		n := &node{Node: x, w: w}
+		w.nodes = append(w.nodes, n)
+		n.start()
+	}
+	for i := range s.Faults {
+		w.plan(&s.Faults[i])
+	}
+
+	w.arrivals(load.NewStream(s, o.Seed))
+	longest := time.Duration(0)
+	for _, c := range w.setup.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	end := s.End() + longest + time.Second
+	for steps := 0; len(w.queue) > 0 && steps < maxSteps; steps++ {
+		e := heap.Pop(&w.queue).(event)
+		if e.at > end {
+			break
+		}
+		w.now = max(w.now, e.at)
+		e.do()
+	}
+	return &history.History{Setup: w.setup, Events: w.events}
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
+
+// at plans something for a time; what is planned for one moment is done in
+// the order of planning.
+func (w *world) at(t time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{max(t, w.now), w.seq, do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+func (w *world) record(e history.Event) {
+	e.At = w.now
+	w.events = append(w.events, e)
+}
+
+// jitter gives a delay within a fifth of d.
+func (w *world) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.8 + 0.4*w.rng.Float64()))
+}
+
+// between is the one-way delay between two halls.
+func (w *world) between(a, b string) time.Duration {
+	if a == b {
+		return w.jitter(w.s.Net.SameHall.Duration)
+	}
+	return w.jitter(w.s.Net.CrossHall.Duration)
+}
--- /dev/null
+++ b/internal/lab/nodeconf/nodeconf.go
@@ -0,0 +1,87 @@
+// Package nodeconf words a scenario as the configuration that a node is told
+// at its start, in the form of the protocol and deployment pages.
+package nodeconf
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"barrowscale/balance"
+	"barrowscale/internal/lab/clip"
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/hosts"
+	"barrowscale/internal/lab/load"
+	"barrowscale/internal/lab/scenario"
+	"barrowscale/internal/wire"
+)
+
+// Limits are those of the node's own machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is the file that PROXY_CONFIG names.
+type Config struct {
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Seed       string          `json:"seed"`
+	Limits     Limits          `json:"limits"`
+	PeerListen string          `json:"peer_listen,omitempty"`
+	Peers      []string        `json:"peers,omitempty"`
+	PeersAll   string          `json:"peers_all,omitempty"`
+	Known      hosts.List      `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+var effects = map[history.Effect]string{history.Safe: "retryable", history.Keyed: "dedup", history.Unsafe: "fragile"}
+
+// Settings gives the settings of one node of a scenario.
+func Settings(s *scenario.Scenario, number int) json.RawMessage {
+	type object = map[string]any
+	var classes []object
+	for _, c := range load.ClassesOf(s) {
+		o := object{"name": c.Name, "effect": effects[c.Effect], "aim_ns": c.Aim, "give_up_ns": c.Deadline,
+			"importance": c.Worth, "key_scope": "all"}
+		if c.Effect == history.Keyed {
+			o["key_scope"], o["dedup_window_ns"] = "cell", load.Limits.KeyWindow
+		}
+		classes = append(classes, o)
+	}
+	var halls []string
+	for _, h := range s.Halls {
+		halls = append(halls, h.Name)
+	}
+	m, _ := clip.Of("std-6")
+	nodes := s.Nodes()
+	raw, err := json.Marshal(object{
+		"balancers": len(nodes), "slot_no": number, "zone": nodes[number].Hall, "failure_domains": halls,
+		"kinds": []string{"fast-6", "std-6", "slow-6"}, "family": "proxy", "tier": 0, "tiers": []string{"clip-web"},
+		"caps": object{"cancel": true, "conn_idle_ns": 60e9, "connect_timeout_ns": 250e6, "cpu_us_per_s": 15000,
+			"max_attempts": 4, "max_retry_after_ns": load.MaxRetryAfter, "may_duplicate": true, "most_held": 20000,
+			"multiplex": 1, "peers": true, "probes": true, "retry_after": true},
+		"charges": object{"cross_zone": 0.02, "waste": 0.05, "probe": 0.01, "peer": 0.01, "late_fail": 0.08,
+			"connection": 0.03, "handshake": 0.03},
+		"classes": classes, "client_habits": object{"marks_retry": false},
+		"goal":            object{"whole": 0.6, "worst_window": 0.2, "worst_class": 0.2, "worst_tenant": 0},
+		"membership_mode": "on_request", "report": object{"how": "probe", "fields": []string{"inflight", "queue"}},
+		"invariants": object{"answer_slack_ns": 0, "ask_within_ns": 10e9, "cold_from": m.ColdFrom, "cold_ns": m.ColdTime,
+			"drain_grace_ns": load.Limits.DrainGrace, "overload_factor": load.Limits.FallFactor, "tip_after_ns": load.Limits.FallTime},
+		"over_share_worth": 0.05, "tick_ns": 5e6, "weight_kind": "nominal", "worth_by": "request",
+	})
+	if err != nil {
+		panic(fmt.Sprintf("nodeconf: settings of plain values do not encode: %v", err))
+	}
+	return raw
+}
+
+// Module gives the same settings as the decision module takes them.
+func Module(s *scenario.Scenario, number int) balance.Settings {
+	set, err := wire.DecodeSettings(Settings(s, number))
+	if err != nil {
+		panic(fmt.Sprintf("nodeconf: settings of its own making do not decode: %v", err))
+	}
+	return set
+}
--- /dev/null
+++ b/internal/lab/process/process.go
@@ -0,0 +1,170 @@
+// Package process runs a real node as a process of its own, and ends it: by
+// SIGTERM, by SIGKILL, and always with the lab.
+package process
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"barrowscale/internal/lab/nodeconf"
+)
+
+const (
+	startTime = 20 * time.Second // a node that serves nothing by then has failed
+	maxLog    = 200              // last lines of its log that are kept
+)
+
+// Node is one running process.
+type Node struct {
+	Addr  string // where clients connect
+	Peers string // where it takes datagrams; "" for none
+	cmd   *exec.Cmd
+	ended chan struct{}
+	mu    sync.Mutex
+	log   []string
+}
+
+// Start runs the program with a configuration, whose Listen and PeerListen
+// may name port 0: the node's own log tells what it got, so no port is raced
+// for. dir is for its files. It returns once GET /up answers 200.
+func Start(program, dir string, c nodeconf.Config) (*Node, error) {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, c.Name+".json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return nil, err
+	}
+	n := &Node{ended: make(chan struct{}), cmd: exec.Command(program)}
+	n.cmd.Env = append(os.Environ(), "PROXY_NAME="+c.Name, "PROXY_LISTEN="+c.Listen, "PROXY_DISCOVERY="+c.Discovery, "PROXY_CONFIG="+path)
+	// Setpgid keeps a Ctrl-C at the terminal from it: the lab ends it in order.
+	// Pdeathsig ends it if the lab is killed outright.
+	n.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	out, err := n.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	started := make(chan error)
+	go func() {
+		// Pdeathsig is sent when the thread that started the process ends.
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := n.cmd.Start()
+		started <- err
+		if err == nil {
+			n.cmd.Wait()
+			close(n.ended)
+		}
+	}()
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("node %s: %w", c.Name, err)
+	}
+	addr := make(chan string, 1)
+	go n.read(out, addr)
+	select {
+	case n.Addr = <-addr:
+	case <-n.ended:
+		return nil, fmt.Errorf("node %s ended at once: %s", c.Name, strings.Join(n.Log(), "; "))
+	case <-time.After(startTime):
+		n.Kill()
+		return nil, fmt.Errorf("node %s did not say where it serves: %s", c.Name, strings.Join(n.Log(), "; "))
+	}
+	if err := n.up(); err != nil {
+		n.Kill()
+		return nil, fmt.Errorf("node %s: %w", c.Name, err)
+	}
+	return n, nil
+}
+
+// read keeps the last lines of the log and looks for the addresses in it.
+func (n *Node) read(out io.Reader, addr chan<- string) {
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		line := lines.Text()
+		n.mu.Lock()
+		if n.log = append(n.log, line); len(n.log) > maxLog {
+			n.log = n.log[1:]
+		}
+		if _, at, found := strings.Cut(line, " takes datagrams on "); found {
+			n.Peers = at
+		}
+		n.mu.Unlock()
+		if _, at, found := strings.Cut(line, " serves on "); found {
+			select {
+			case addr <- at:
+			default:
+			}
+		}
+	}
+}
+
+// up waits until GET /up answers 200.
+func (n *Node) up() error {
+	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(startTime); ; {
+		resp, err := client.Get("http://" + n.Addr + "/up")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = errors.New(resp.Status)
+		}
+		select {
+		case <-n.ended:
+			return fmt.Errorf("it ended: %s", strings.Join(n.Log(), "; "))
+		case <-time.After(10 * time.Millisecond):
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("/up: %w", err)
+		}
+	}
+}
+
+// Log gives the last lines that it wrote.
+func (n *Node) Log() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]string(nil), n.log...)
+}
+
+// PeerAddr is where it takes datagrams, if it does.
+func (n *Node) PeerAddr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Peers
+}
+
+// Pid is the process's number.
+func (n *Node) Pid() int { return n.cmd.Process.Pid }
+
+// Ended is closed when the process has ended.
+func (n *Node) Ended() <-chan struct{} { return n.ended }
+
+// Term tells it to end.
+func (n *Node) Term() { n.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Kill ends it outright and waits for that.
+func (n *Node) Kill() {
+	n.cmd.Process.Kill()
+	<-n.ended
+}
+
+// CPU is the processor time that an ended process used.
+func (n *Node) CPU() time.Duration {
+	<-n.ended
+	return n.cmd.ProcessState.UserTime() + n.cmd.ProcessState.SystemTime()
+}
--- /dev/null
+++ b/internal/lab/real/hall.go
@@ -0,0 +1,393 @@
+// Package real runs a scenario on loopback sockets in real time: real nodes as
+// processes, the stand-ins round them, one monotonic clock for all records.
+package real
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"barrowscale/internal/lab/caller"
+	"barrowscale/internal/lab/clip"
+	"barrowscale/internal/lab/clipserver"
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/hosts"
+	"barrowscale/internal/lab/link"
+	"barrowscale/internal/lab/load"
+	"barrowscale/internal/lab/nodeconf"
+	"barrowscale/internal/lab/process"
+	"barrowscale/internal/lab/scenario"
+)
+
+const (
+	maxOrders    = 20_000 // that are open at once; beyond it the load waits, and the run says so
+	frontNotice  = time.Second
+	silentNotice = 5 * time.Second // until discovery misses a machine that is cut off
+	acceptTime   = 600 * time.Millisecond
+	endTime      = 5 * time.Second // for a node to end after SIGTERM
+)
+
+// Options of a run.
+type Options struct {
+	Seed    int64               // 0: the scenario's
+	Program string              // the node
+	Limits  nodeconf.Limits     // of each node; zero: one core, 192 MB, 1,024 descriptors
+	Watch   func(history.Event) // told of each event, one at a time; may be nil
+}
+
+// Hall is one run.
+type Hall struct {
+	s        *scenario.Scenario
+	o        Options
+	dir      string
+	base     atomic.Pointer[time.Time] // nil: the load has not begun
+	unix     time.Time                 // of base
+	rec      history.Recorder
+	setup    history.Setup
+	mu       sync.Mutex
+	slots    []*slot
+	byID     map[string]*slot
+	nodes    []*node
+	hosts    *hosts.Service
+	front    *caller.Front
+	clients  *caller.Clients
+	relays   [][]*link.UDP // from node i to node j
+	toAll    []*link.UDP
+	late     []time.Duration // how late orders were sent
+	waited   int             // orders that found maxOrders open
+	stopping bool
+	rng      *rand.Rand // the timeline's own
+	pending  sync.WaitGroup
+	failed   atomic.Pointer[error]
+}
+
+// slot is a server's place: its addresses stay when the server is replaced.
+type slot struct {
+	scenario.Server
+	id     string // on the list
+	server *clipserver.Server
+	pod    *clip.Pod
+	speed  float64
+	direct map[string]string    // node: address
+	links  map[string]*link.TCP // node: the link in front, where the timeline has one
+	start  time.Duration        // 0: long ago
+	life   int
+	state  string // for the screen: "", draining, silent, hung, down
+}
+
+// node is a node's place.
+type node struct {
+	scenario.Node
+	conf nodeconf.Config
+	mu   sync.Mutex
+	proc *process.Node
+	life int
+	cpu  time.Duration // of processes that have ended
+}
+
+// New starts the stand-ins and the nodes. Close ends all of it.
+func New(ctx context.Context, s *scenario.Scenario, o Options) (*Hall, error) {
+	if o.Seed == 0 {
+		o.Seed = s.Seed
+	}
+	if o.Limits == (nodeconf.Limits{}) {
+		o.Limits = nodeconf.Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}
+	}
+	dir, err := os.MkdirTemp("", "ivylab-")
+	if err != nil {
+		return nil, err
+	}
+	h := &Hall{s: s, o: o, dir: dir, byID: map[string]*slot{}, rng: rand.New(rand.NewPCG(uint64(o.Seed), 0x7265616c)), front: caller.NewFront(s.Nodes())}
+	if o.Watch != nil {
+		h.rec.Watch(o.Watch)
+	}
+	h.setup = history.Setup{Scenario: s.Name, Seed: o.Seed, Length: s.Length.Duration, Classes: load.ClassesOf(s), Limits: load.Limits}
+	h.clients = &caller.Clients{Scenario: s, Front: h.front, Clock: h.Clock, Record: h.rec.Add, Slack: load.Limits.Slack}
+	h.hosts = hosts.NewService(40, h.Clock, h.rec.Add, h.addr)
+	for _, x := range s.Nodes() {
+		h.nodes = append(h.nodes, &node{Node: x})
+		h.setup.Nodes = append(h.setup.Nodes, history.Node{Name: x.Name, Hall: x.Hall})
+	}
+	err = errors.Join(h.startServers(), h.startRelays())
+	if err == nil {
+		err = h.startNodes(ctx)
+	}
+	if err != nil {
+		h.Close()
+		return nil, err
+	}
+	h.hosts.SetLag(s.Hosts.Lag.Duration)
+	return h, nil
+}
+
+// Clock is the lab's clock: 0 until the load begins.
+func (h *Hall) Clock() time.Duration {
+	if base := h.base.Load(); base != nil {
+		return time.Since(*base)
+	}
+	return 0
+}
+
+func (h *Hall) startServers() error {
+	rng := rand.New(rand.NewPCG(uint64(h.o.Seed), 0x73706565))
+	pods := map[int]*clip.Pod{}
+	for _, x := range h.s.Servers() {
+		if pods[x.Pod] == nil {
+			pods[x.Pod] = clip.NewPod(load.Limits.KeyWindow)
+		}
+		r := clip.SpeedRange[x.Kind]
+		t := &slot{Server: x, id: x.Name, pod: pods[x.Pod], speed: r[0] + (r[1]-r[0])*rng.Float64(),
+			direct: map[string]string{}, links: map[string]*link.TCP{}}
+		m, err := h.model(t)
+		if err != nil {
+			return err
+		}
+		t.server = clipserver.New(clipserver.Config{Model: m, Clock: h.Clock, Record: h.rec.Add, Entered: t.entered})
+		for _, n := range h.nodes {
+			if t.direct[n.Name], err = t.server.Listen(n.Name); err != nil {
+				return err
+			}
+		}
+		h.slots = append(h.slots, t)
+		h.byID[t.id] = t
+	}
+	for _, f := range h.s.Faults { // links only where the timeline changes them
+		if f.What != scenario.WhatLink {
+			continue
+		}
+		for _, p := range h.pairs(f.Who) {
+			if p.slot.links[p.node] != nil {
+				continue
+			}
+			l, err := link.NewTCP(func() string { return p.slot.direct[p.node] }, h.Clock)
+			if err != nil {
+				return err
+			}
+			p.slot.links[p.node] = l
+		}
+	}
+	for _, t := range h.slots {
+		h.hosts.Set(h.entry(t, hosts.Up))
+	}
+	return nil
+}
+
+// model makes the model of the server at a slot, under its present id.
+func (h *Hall) model(t *slot) (*clip.Server, error) {
+	m, err := clip.Of(t.Kind)
+	if err != nil {
+		return nil, err
+	}
+	m.Speed = t.speed
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.setup.Servers = append(h.setup.Servers, history.Server{Name: t.id, Hall: t.Hall, Kind: t.Kind, Pod: t.Pod})
+	l := load.Limits
+	return clip.NewServer(t.id, m, clip.Fall{Factor: l.FallFactor, Time: l.FallTime, Spare: l.FallSpare}, t.pod), nil
+}
+
+// pair is one node's way to one server.
+type pair struct {
+	node string
+	slot *slot
+}
+
+// pairs lists the ways that a fault's names mean: to the servers, from the
+// nodes, or, where both are named, between them.
+func (h *Hall) pairs(who []string) []pair {
+	servers, nodes := h.s.Pick(who)
+	if len(servers) == 0 {
+		servers = h.s.Servers()
+	}
+	if len(nodes) == 0 {
+		nodes = h.s.Nodes()
+	}
+	var out []pair
+	for _, x := range servers {
+		for _, t := range h.slots {
+			if t.Name != x.Name {
+				continue
+			}
+			for _, n := range nodes {
+				out = append(out, pair{n.Name, t})
+			}
+		}
+	}
+	return out
+}
+
+func (t *slot) entered(node, remote string) (time.Duration, bool) {
+	if l := t.links[node]; l != nil {
+		return l.Entered(remote)
+	}
+	return 0, false
+}
+
+// addr is where a node reaches a server.
+func (h *Hall) addr(node, server string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.byID[server]
+	if t == nil {
+		return ""
+	}
+	if l := t.links[node]; l != nil {
+		return l.Addr()
+	}
+	return t.direct[node]
+}
+
+// entry words a slot's server for the list.
+func (h *Hall) entry(t *slot, lifecycle string) hosts.Entry {
+	e := hosts.Entry{InstanceID: t.id, Zone: t.Hall, MachineType: t.Kind, Cell: t.Pod, Lifecycle: lifecycle,
+		Weight: 6 * t.speed}
+	if t.start > 0 {
+		e.StartedAtMs = h.unix.Add(t.start).UnixMilli()
+	}
+	return e
+}
+
+// startRelays opens the ways between nodes. What node i sends to its address
+// of node j goes on through the socket that node j knows as node i's.
+func (h *Hall) startRelays() error {
+	n := len(h.nodes)
+	h.relays = make([][]*link.UDP, n)
+	h.toAll = make([]*link.UDP, n)
+	shape := link.Shape{Delay: h.s.Net.Messages.Duration, Loss: h.s.Net.Lost}
+	hop := func(i, j int) []link.Hop {
+		h.nodes[j].mu.Lock()
+		proc := h.nodes[j].proc
+		h.nodes[j].mu.Unlock()
+		if proc == nil || proc.PeerAddr() == "" || h.relays[j][i] == nil {
+			return nil
+		}
+		to, err := net.ResolveUDPAddr("udp", proc.PeerAddr())
+		if err != nil {
+			return nil
+		}
+		return []link.Hop{{From: h.relays[j][i].Conn(), To: to}}
+	}
+	told := func(i int) func(int, int) {
+		return func(bytes, receivers int) {
+			for range receivers {
+				h.rec.Add(history.Event{At: h.Clock(), Kind: history.Message, Node: h.nodes[i].Name, Bytes: bytes})
+			}
+		}
+	}
+	for i := range n {
+		h.relays[i] = make([]*link.UDP, n)
+	}
+	for i := range n {
+		for j := range n {
+			u, err := link.NewUDP(func() []link.Hop { return hop(i, j) }, told(i))
+			if err != nil {
+				return err
+			}
+			u.Set(shape)
+			h.relays[i][j] = u
+		}
+		u, err := link.NewUDP(func() []link.Hop {
+			var all []link.Hop
+			for j := range n {
+				if j != i {
+					all = append(all, hop(i, j)...)
+				}
+			}
+			return all
+		}, told(i))
+		if err != nil {
+			return err
+		}
+		u.Set(shape)
+		h.toAll[i] = u
+	}
+	return nil
+}
+
+// startNodes starts all nodes at once.
+func (h *Hall) startNodes(ctx context.Context) error {
+	errs := make([]error, len(h.nodes))
+	var wg sync.WaitGroup
+	for i, n := range h.nodes {
+		addr, err := h.hosts.Listen(n.Name)
+		if err != nil {
+			return err
+		}
+		var peers []string
+		for _, r := range h.relays[n.Number] {
+			peers = append(peers, r.Addr())
+		}
+		n.conf = nodeconf.Config{Name: n.Name, Listen: "127.0.0.1:0", Discovery: addr, Limits: h.o.Limits,
+			PeerListen: "127.0.0.1:0", Peers: peers, PeersAll: h.toAll[n.Number].Addr(), Settings: nodeconf.Settings(h.s, n.Number)}
+		wg.Go(func() { errs[i] = h.startNode(n) })
+	}
+	wg.Wait()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Join(errs...)
+}
+
+// startNode starts a node's next process and takes it in.
+func (h *Hall) startNode(n *node) error {
+	h.mu.Lock()
+	stopping := h.stopping
+	h.mu.Unlock()
+	if stopping {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.life++
+	n.conf.Seed = fmt.Sprintf("%016x", uint64(h.o.Seed)*1_000_003+uint64(n.Number)*101+uint64(n.life))
+	n.conf.Known = h.hosts.Known(n.Name)
+	proc, err := process.Start(h.o.Program, h.dir, n.conf)
+	if err != nil {
+		return err
+	}
+	n.proc = proc
+	h.rec.Add(history.Event{At: h.Clock(), Kind: history.NodeUp, Node: n.Name})
+	h.front.Up(caller.Place{Node: n.Name, Addr: proc.Addr, Life: n.life})
+	return nil
+}
+
+// Close ends every process, connection and file of the run.
+func (h *Hall) Close() {
+	h.mu.Lock()
+	h.stopping = true
+	h.mu.Unlock()
+	h.clients.Close()
+	for _, n := range h.nodes {
+		n.mu.Lock()
+		if n.proc != nil {
+			n.proc.Kill()
+			n.cpu += n.proc.CPU()
+			n.proc = nil
+		}
+		n.mu.Unlock()
+	}
+	h.hosts.Close()
+	for _, t := range h.slots {
+		for _, l := range t.links {
+			l.Close()
+		}
+		t.server.Close()
+	}
+	for i := range h.relays {
+		for _, u := range h.relays[i] {
+			if u != nil {
+				u.Close()
+			}
+		}
+		if h.toAll[i] != nil {
+			h.toAll[i].Close()
+		}
+	}
+	os.RemoveAll(h.dir)
+}
--- /dev/null
+++ b/internal/lab/real/real_test.go
@@ -0,0 +1,207 @@
+package real
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"barrowscale/internal/lab/holds"
+	"barrowscale/internal/lab/judge"
+	"barrowscale/internal/lab/scenario"
+)
+
+var program string
+
+// TestMain builds the node once: the tests run it as processes.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "ivylab-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	program = filepath.Join(dir, "ivylock")
+	out, err := exec.Command("go", "build", "-o", program, "barrowscale/cmd/ivylock").CombinedOutput()
+	code := 1
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// play runs a scenario and fails the test with all that did not hold.
+func play(t *testing.T, text string) {
+	t.Helper()
+	s, err := scenario.Parse(t.Name(), []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	h, err := New(ctx, s, Options{Program: program})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := h.Run(ctx)
+	h.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := judge.Judge(got)
+	for _, line := range holds.Check(s, got, &v) {
+		t.Error(line)
+	}
+}
+
+const halls = `
+[[hall]]
+name = "hall-nord"
+nodes = 1
+servers = { fast-6 = 2, std-6 = 1 }
+
+[[hall]]
+name = "hall-syd"
+nodes = 1
+servers = { std-6 = 2, slow-6 = 1 }
+
+[clients]
+retries = 2
+
+[must]
+faults_happen = true
+served = 0.5
+`
+
+// The rules hold, and each fault is shown to happen, on real sockets with real
+// processes. The load is light: a verdict must not depend on the machine.
+func TestProcessesDieAndComeBack(t *testing.T) {
+	t.Parallel()
+	play(t, `name = "processes"
+length = "12s"
+`+halls+`
+[load]
+rate = 60.0
+[[fault]]
+at = "1s"
+for = "2s"
+what = "kill"
+who = ["n0", "hall-syd.1"]
+[[fault]]
+at = "2s"
+for = "1s"
+what = "replace"
+who = ["hall-nord.1"]
+[[fault]]
+at = "5s"
+for = "4s"
+what = "restart"
+who = ["n1"]
+[[fault]]
+at = "6s"
+for = "3s"
+what = "silent"
+who = ["hall-nord.3"]
+[[fault]]
+at = "7s"
+for = "2s"
+what = "hang"
+who = ["hall-syd.2"]
+`)
+}
+
+func TestTheListChangesAndDiscoveryFails(t *testing.T) {
+	t.Parallel()
+	play(t, `name = "list"
+length = "11s"
+`+halls+`
+[load]
+rate = 60.0
+[[fault]]
+at = "1s"
+for = "3s"
+what = "drain"
+who = ["hall-nord.1", "hall-syd.1"]
+[[fault]]
+at = "3s"
+for = "2s"
+what = "flap"
+every = "150ms"
+who = ["hall-nord.2"]
+[[fault]]
+at = "5500ms"
+for = "1s"
+what = "discovery-outage"
+[[fault]]
+at = "6s"
+for = "5s"
+what = "drain"
+who = ["hall-syd.2"]
+[[fault]]
+at = "8s"
+for = "2s"
+what = "discovery-lag"
+delay = "300ms"
+[[fault]]
+at = "9s"
+what = "discovery-restart"
+`)
+}
+
+func TestLinksAndAnswersAreBad(t *testing.T) {
+	t.Parallel()
+	play(t, `name = "links"
+length = "12s"
+`+halls+`
+[load]
+rate = 60.0
+[[fault]]
+at = "500ms"
+for = "2s"
+what = "link"
+who = ["hall-nord.1"]
+delay = "30ms"
+loss = 0.05
+[[fault]]
+at = "3s"
+for = "2s"
+what = "link"
+who = ["hall-nord.2"]
+state = "black-hole"
+[[fault]]
+at = "5s"
+for = "2s"
+what = "link"
+who = ["hall-nord.3", "n0"]
+state = "reset"
+[[fault]]
+at = "7s"
+for = "2s"
+what = "link"
+who = ["hall-syd.1"]
+state = "half-open"
+[[fault]]
+at = "1s"
+for = "6s"
+what = "spoil"
+who = ["hall-syd.2"]
+part = 0.4
+[[fault]]
+at = "8s"
+for = "3s"
+what = "slow-reader"
+part = 0.5
+[[fault]]
+at = "9s"
+for = "2s"
+what = "heavy"
+class = "viewer-clip"
+part = 0.1
+factor = 15
+`)
+}
--- /dev/null
+++ b/internal/lab/scenario/check.go
@@ -0,0 +1,254 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of a scenario. A lab is one machine.
+const (
+	maxServers = 200
+	maxNodes   = 16
+	maxFaults  = 200
+	maxRate    = 20_000
+	maxLength  = 10 * time.Minute
+)
+
+// classNames are the brief's.
+var classNames = []string{"broadcast-clip", "viewer-clip", "cut-order", "tag-event"}
+
+func (s *Scenario) defaults() {
+	set := func(d *Span, to time.Duration) {
+		if d.Duration == 0 {
+			d.Duration = to
+		}
+	}
+	set(&s.Client.Backoff, 100*time.Millisecond)
+	set(&s.Hosts.Lag, 500*time.Millisecond)
+	set(&s.Net.SameHall, 200*time.Microsecond)
+	set(&s.Net.CrossHall, 2*time.Millisecond)
+	set(&s.Net.Client, 500*time.Microsecond)
+	set(&s.Net.Messages, 5*time.Millisecond)
+	if s.Client.TryShare == 0 {
+		s.Client.TryShare = 0.65
+	}
+	if s.Load.WorkPer == 0 {
+		s.Load.WorkPer = 1
+	}
+	for i := range s.Halls {
+		if s.Halls[i].PodSize == 0 {
+			s.Halls[i].PodSize = 4
+		}
+	}
+}
+
+// check gives the key that is wrong and what to do about it, or nothing.
+func (s *Scenario) check() (key, text string) {
+	switch {
+	case s.Name == "" || strings.ContainsAny(s.Name, " /\\\n"):
+		return "name", "name: want one word, such as name = \"hang\""
+	case s.Length.Duration < time.Second || s.Length.Duration > maxLength:
+		return "length", fmt.Sprintf("length: %v is not between 1s and %v", s.Length, maxLength)
+	case s.Load.Rate < 0.1 || s.Load.Rate > maxRate:
+		return "load.rate", fmt.Sprintf("load.rate: want 0.1 to %d first tries a second, have %v", maxRate, s.Load.Rate)
+	case s.Load.RampTo != 0 && (s.Load.RampTo < 0.1 || s.Load.RampTo > maxRate):
+		return "load.ramp_to", fmt.Sprintf("load.ramp_to: want 0.1 to %d, or leave it out", maxRate)
+	case s.Load.WorkPer < 0.0001 || s.Load.WorkPer > 100:
+		return "load.work", "load.work: want 0.0001 to 100, as a multiple of the brief's work"
+	case s.Client.Retries < 0 || s.Client.Retries > 2:
+		return "clients.retries", "clients.retries: want 0, 1 or 2"
+	case s.Client.TryShare < 0.5 || s.Client.TryShare > 0.8:
+		return "clients.try_share", "clients.try_share: want 0.5 to 0.8 of the deadline"
+	case !isShare(s.Client.Honour):
+		return "clients.honour", "clients.honour: want a share, 0 to 1"
+	case !isShare(s.Net.Lost):
+		return "net.messages_lost", "net.messages_lost: want a share, 0 to 1"
+	case !isShare(s.Must.Measure) || !isShare(s.Must.Served) || !isShare(s.Must.Refused):
+		return "must", "must: measure, served and refused_most are shares, 0 to 1"
+	case len(s.Halls) == 0:
+		return "", "no [[hall]]: want at least one with nodes and servers"
+	}
+	for class, part := range s.Load.Shares {
+		if !slices.Contains(classNames, class) {
+			return "load.shares." + class, fmt.Sprintf("load.shares: unknown class %q; there are %s", class, strings.Join(classNames, ", "))
+		}
+		if part < 0 {
+			return "load.shares." + class, "load.shares: want 0 or more"
+		}
+	}
+	if key, text := s.checkHalls(); text != "" {
+		return key, text
+	}
+	if len(s.Faults) > maxFaults {
+		return fmt.Sprintf("fault.%d", maxFaults), fmt.Sprintf("more than %d faults; split the scenario", maxFaults)
+	}
+	for i, f := range s.Faults {
+		if field, text := s.checkFault(f); text != "" {
+			return strings.TrimSuffix(fmt.Sprintf("fault.%d.%s", i, field), "."), fmt.Sprintf("fault %d (%s): %s", i+1, f.What, text)
+		}
+	}
+	return s.checkOverlap()
+}
+
+func isShare(x float64) bool { return x >= 0 && x <= 1 }
+
+func (s *Scenario) checkHalls() (key, text string) {
+	seen := map[string]bool{}
+	for i, h := range s.Halls {
+		at := fmt.Sprintf("hall.%d", i)
+		switch {
+		case h.Name == "" || strings.ContainsAny(h.Name, ". ,\n"):
+			return at + ".name", "hall name: want one word without dots, such as \"hall-nord\""
+		case seen[h.Name]:
+			return at + ".name", fmt.Sprintf("hall %s stands there twice; give each its own name", h.Name)
+		case h.Nodes < 0 || h.PodSize < 1:
+			return at, "nodes and pod_size: want 0 or more nodes and 1 or more servers a pod"
+		}
+		seen[h.Name] = true
+		for kind, n := range h.Servers {
+			if !slices.Contains(kindNames, kind) {
+				return at + ".servers", fmt.Sprintf("unknown machine kind %q; there are %s", kind, strings.Join(kindNames, ", "))
+			}
+			if n < 0 {
+				return at + ".servers", kind + ": want 0 or more"
+			}
+		}
+	}
+	if n := len(s.Servers()); n == 0 || n > maxServers {
+		return "hall.0", fmt.Sprintf("%d servers in all; want 1 to %d", n, maxServers)
+	}
+	if n := len(s.Nodes()); n == 0 || n > maxNodes {
+		return "hall.0", fmt.Sprintf("%d nodes in all; want 1 to %d", n, maxNodes)
+	}
+	return "", ""
+}
+
+// needs tells what a fault must name.
+type needs struct{ servers, nodes, halls, class, part, none bool }
+
+var faultNeeds = map[string]needs{
+	WhatSilent: {servers: true}, WhatHang: {servers: true}, WhatHeavy: {class: true, part: true, none: true},
+	WhatLost: {halls: true}, WhatLostNodes: {halls: true}, WhatKill: {servers: true, nodes: true},
+	WhatTerm: {nodes: true}, WhatDrain: {servers: true}, WhatReplace: {servers: true},
+	WhatLink: {servers: true, nodes: true}, WhatSpoil: {servers: true, part: true}, WhatSlow: {part: true, none: true},
+	WhatOutage: {none: true}, WhatLag: {none: true}, WhatForget: {none: true}, WhatFlap: {servers: true},
+}
+
+func (s *Scenario) checkFault(f Fault) (field, text string) {
+	need, known := faultNeeds[f.What]
+	if !known {
+		var all []string
+		for what := range faultNeeds {
+			all = append(all, what)
+		}
+		slices.Sort(all)
+		return "what", "unknown fault; there are " + strings.Join(all, ", ")
+	}
+	if f.At.Duration > s.Length.Duration {
+		return "at", fmt.Sprintf("at %v is past the scenario's length, %v; make one or the other fit", f.At, s.Length)
+	}
+	if f.For.Duration == 0 && f.What != WhatReplace && f.What != WhatForget {
+		return "for", "want a duration: for = \"8s\""
+	}
+	if need.none && len(f.Who) > 0 {
+		return "who", "this fault hits no one server or node; remove who"
+	}
+	if !need.none && len(f.Who) == 0 {
+		return "who", "want who = [...] with the names it hits"
+	}
+	servers, nodes := s.Pick(f.Who)
+	for _, w := range f.Who {
+		if !slices.ContainsFunc(s.Halls, func(h Hall) bool { return h.Name == w }) &&
+			!slices.ContainsFunc(servers, func(x Server) bool { return x.Name == w }) &&
+			!slices.ContainsFunc(nodes, func(x Node) bool { return x.Name == w }) {
+			return "who", fmt.Sprintf("no server, node or hall is named %q; servers are named like %s, nodes like n0", w, s.Servers()[0].Name)
+		}
+		if need.halls && !slices.ContainsFunc(s.Halls, func(h Hall) bool { return h.Name == w }) {
+			return "who", fmt.Sprintf("%q is no hall; this fault hits whole halls", w)
+		}
+	}
+	switch {
+	case need.servers && !need.nodes && len(servers) == 0:
+		return "who", "it names no server"
+	case need.nodes && !need.servers && len(nodes) == 0:
+		return "who", "it names no node"
+	case need.class && !slices.Contains(classNames, f.Class):
+		return "class", fmt.Sprintf("want class = one of %s", strings.Join(classNames, ", "))
+	case !need.class && f.Class != "":
+		return "class", "this fault has no class; remove it"
+	case need.part && (f.Part <= 0 || f.Part > 1):
+		return "part", "want part = the share that is hit, above 0 and up to 1"
+	case !need.part && f.Part != 0:
+		return "part", "this fault has no part; remove it"
+	case f.What == WhatHeavy && (f.Factor < 1 || f.Factor > 1000):
+		return "factor", "want factor = 1 to 1000, a multiple of the usual work"
+	case f.What == WhatFlap && f.Every.Duration < 10*time.Millisecond:
+		return "every", "want every = \"500ms\" or so, 10ms at least"
+	case f.What == WhatLag && f.Delay.Duration == 0:
+		return "delay", "want delay = how much later changes are told"
+	case !isShare(f.Loss):
+		return "loss", "want a share, 0 to 1"
+	case f.State != "" && f.State != "half-open" && f.State != "reset" && f.State != "black-hole":
+		return "state", "want half-open, reset or black-hole"
+	case f.What == WhatLink && f.Delay.Duration == 0 && f.Loss == 0 && f.State == "":
+		return "", "a link fault wants delay, loss or state"
+	}
+	return "", ""
+}
+
+// checkOverlap rejects orders that cannot be carried out: a process that is
+// acted on while another fault holds it down.
+func (s *Scenario) checkOverlap() (key, text string) {
+	down := map[string]bool{WhatSilent: true, WhatKill: true, WhatLost: true, WhatLostNodes: true, WhatTerm: true, WhatReplace: true, WhatHang: true}
+	for i, f := range s.Faults {
+		for j, g := range s.Faults[:i] {
+			if !down[f.What] || !down[g.What] || f.At.Duration >= g.At.Duration+max(g.For.Duration, time.Millisecond) ||
+				g.At.Duration >= f.At.Duration+max(f.For.Duration, time.Millisecond) {
+				continue
+			}
+			fs, fn := s.hit(f)
+			gs, gn := s.hit(g)
+			for name := range fs {
+				if gs[name] {
+					return fmt.Sprintf("fault.%d.at", i), fmt.Sprintf("fault %d (%s) acts on %s while fault %d (%s) holds it down; let one end first", i+1, f.What, name, j+1, g.What)
+				}
+			}
+			for name := range fn {
+				if gn[name] {
+					return fmt.Sprintf("fault.%d.at", i), fmt.Sprintf("fault %d (%s) acts on %s while fault %d (%s) holds it down; let one end first", i+1, f.What, name, j+1, g.What)
+				}
+			}
+		}
+	}
+	return "", ""
+}
+
+// hit gives the names of the servers and nodes whose process a fault acts on.
+func (s *Scenario) hit(f Fault) (servers, nodes map[string]bool) {
+	servers, nodes = map[string]bool{}, map[string]bool{}
+	xs, ns := s.Pick(f.Who)
+	if f.What != WhatTerm {
+		for _, x := range xs {
+			servers[x.Name] = true
+		}
+	}
+	if f.What == WhatTerm || f.What == WhatKill || f.What == WhatLostNodes {
+		for _, n := range ns {
+			nodes[n.Name] = true
+		}
+	}
+	return servers, nodes
+}
+
+// Check fills in defaults and tells what is wrong with a scenario that was not
+// read from a file.
+func Check(s *Scenario) error {
+	s.defaults()
+	if _, text := s.check(); text != "" {
+		return errors.New(text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,218 @@
+// Package scenario reads the files that say what a lab run consists of: halls,
+// servers, nodes, load, faults on a timeline, and what must hold. Decoding is
+// strict, and every message names the file, the line and the fix.
+package scenario
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Scenario is one file.
+type Scenario struct {
+	Name   string  `toml:"name"`
+	About  string  `toml:"about,omitempty"`
+	Seed   int64   `toml:"seed"`
+	Length Span    `toml:"length"` // of the load; 1 s to 10 min
+	Load   Load    `toml:"load"`
+	Client Client  `toml:"clients"`
+	Hosts  Hosts   `toml:"discovery"`
+	Net    Net     `toml:"net"`
+	Halls  []Hall  `toml:"hall"`
+	Faults []Fault `toml:"fault"`
+	Must   Must    `toml:"must"`
+}
+
+// Load is what clients ask for, by the brief's class table.
+type Load struct {
+	Rate    float64            `toml:"rate"`              // first tries a second over all halls; 0.1 to 20,000
+	RampTo  float64            `toml:"ramp_to,omitempty"` // the rate at the end; 0: steady
+	Shares  map[string]float64 `toml:"shares,omitempty"`  // by class; those left out keep the brief's
+	WorkPer float64            `toml:"work,omitempty"`    // scales all work; 0: 1
+}
+
+// Client is how clients behave.
+type Client struct {
+	Retries  int     `toml:"retries,omitempty"`   // of their own, 0 to 2
+	TryShare float64 `toml:"try_share,omitempty"` // of the deadline, after which a try is given up: 0.5 to 0.8; 0: 0.65
+	Backoff  Span    `toml:"backoff,omitempty"`   // the first wait, which doubles
+	Honour   float64 `toml:"honour,omitempty"`    // share of clients that follow Retry-After, 0 to 1
+}
+
+// Hosts is how discovery behaves.
+type Hosts struct {
+	Lag Span `toml:"lag,omitempty"` // until a change is told
+}
+
+// Net is the network between the stand-ins, one way.
+type Net struct {
+	SameHall  Span    `toml:"same_hall,omitempty"`
+	CrossHall Span    `toml:"cross_hall,omitempty"`
+	Client    Span    `toml:"client,omitempty"`
+	Messages  Span    `toml:"messages,omitempty"`      // datagrams between nodes
+	Lost      float64 `toml:"messages_lost,omitempty"` // share of them, 0 to 1
+}
+
+// Hall is one hall with its nodes and servers.
+type Hall struct {
+	Name    string         `toml:"name"`
+	Nodes   int            `toml:"nodes"`
+	Servers map[string]int `toml:"servers"` // by machine kind
+	PodSize int            `toml:"pod_size,omitempty"`
+}
+
+// What a fault does.
+const (
+	WhatSilent    = "silent"            // a machine is cut off and comes back cold
+	WhatHang      = "hang"              // takes requests and answers none
+	WhatHeavy     = "heavy"             // a part of one class costs many times its work
+	WhatLost      = "hall-lost"         // all servers of a hall are cut off and come back cold
+	WhatLostNodes = "hall-lost-nodes"   // the same, and its nodes are killed
+	WhatKill      = "kill"              // a node or server process is killed; it starts again at the end
+	WhatTerm      = "restart"           // a planned restart of a node: SIGTERM, then a new process
+	WhatDrain     = "drain"             // a server drains, and is up again at the end
+	WhatReplace   = "replace"           // a server's process is replaced under a new id at the old address
+	WhatLink      = "link"              // the links of a node or server change
+	WhatSpoil     = "spoil"             // a part of a server's answers is spoilt
+	WhatSlow      = "slow-reader"       // clients read their answers slowly
+	WhatOutage    = "discovery-outage"  // discovery is down
+	WhatLag       = "discovery-lag"     // changes are told so much later
+	WhatForget    = "discovery-restart" // discovery starts again at a lower generation
+	WhatFlap      = "flap"              // a server goes up and down on the list while its process runs on
+)
+
+// Fault is one thing that goes wrong, from At on for a time.
+type Fault struct {
+	At     Span     `toml:"at"`
+	For    Span     `toml:"for,omitempty"`
+	What   string   `toml:"what"`
+	Who    []string `toml:"who,omitempty"`    // servers (hall.1), nodes (n0) or halls
+	Class  string   `toml:"class,omitempty"`  // heavy: which
+	Part   float64  `toml:"part,omitempty"`   // heavy, spoil, slow-reader: the share that is hit, 0 to 1
+	Factor float64  `toml:"factor,omitempty"` // heavy: multiple of the usual work
+	Every  Span     `toml:"every,omitempty"`  // flap: time between changes
+	Delay  Span     `toml:"delay,omitempty"`  // link: one way; discovery-lag: on top
+	Loss   float64  `toml:"loss,omitempty"`   // link: share of segments lost; each costs a retransmission
+	State  string   `toml:"state,omitempty"`  // link: "", half-open, reset or black-hole
+}
+
+// Must is what must hold after the run. A rule that breaks always fails it.
+type Must struct {
+	Measure float64 `toml:"measure,omitempty"`       // the service measure, at least; 0 to 1
+	Served  float64 `toml:"served,omitempty"`        // share of orders served at any time, at least
+	Refused float64 `toml:"refused_most,omitempty"`  // share of tries refused, at most; 0: any
+	Faults  bool    `toml:"faults_happen,omitempty"` // each fault must be seen to happen in the history
+}
+
+// Span is a time. In a file it is text with its unit, such as "500ms": a bare
+// number is an error, as nobody can tell what it counts.
+type Span struct{ time.Duration }
+
+// UnmarshalText reads a time with its unit.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no time; write it with its unit, such as \"500ms\" or \"8.3s\"", text)
+	}
+	if d < 0 {
+		return fmt.Errorf("%q is negative; times count from the start of the load", text)
+	}
+	s.Duration = d
+	return nil
+}
+
+// Server is one clip server of a scenario.
+type Server struct {
+	Name, Hall, Kind string
+	Pod              int
+}
+
+// Node is one node of a scenario.
+type Node struct {
+	Name, Hall string
+	Number     int
+}
+
+// Servers lists all servers, hall by hall, the machine kinds mixed as the file
+// names them in order of their names.
+func (s *Scenario) Servers() []Server {
+	var out []Server
+	pod := 0
+	for _, h := range s.Halls {
+		size, n := h.PodSize, 0
+		if size == 0 {
+			size = 4
+		}
+		for _, kind := range kindNames {
+			for range h.Servers[kind] {
+				n++
+				out = append(out, Server{Name: fmt.Sprintf("%s.%d", h.Name, n), Hall: h.Name, Kind: kind, Pod: pod + (n-1)/size})
+			}
+		}
+		pod += (n + size - 1) / size
+	}
+	return out
+}
+
+var kindNames = []string{"fast-6", "std-6", "slow-6"}
+
+// Nodes lists all nodes.
+func (s *Scenario) Nodes() []Node {
+	var out []Node
+	for _, h := range s.Halls {
+		for range h.Nodes {
+			out = append(out, Node{Name: fmt.Sprintf("n%d", len(out)), Hall: h.Name, Number: len(out)})
+		}
+	}
+	return out
+}
+
+// Pick gives the servers and nodes that a fault names, halls spelt out.
+func (s *Scenario) Pick(who []string) (servers []Server, nodes []Node) {
+	in := func(name, hall string) bool {
+		for _, w := range who {
+			if w == name || w == hall {
+				return true
+			}
+		}
+		return false
+	}
+	for _, x := range s.Servers() {
+		if in(x.Name, x.Hall) {
+			servers = append(servers, x)
+		}
+	}
+	for _, x := range s.Nodes() {
+		if in(x.Name, x.Hall) {
+			nodes = append(nodes, x)
+		}
+	}
+	return servers, nodes
+}
+
+// End is when the last fault is over, or the load, if that is later.
+func (s *Scenario) End() time.Duration {
+	end := s.Length.Duration
+	for _, f := range s.Faults {
+		end = max(end, f.At.Duration+f.For.Duration)
+	}
+	return end
+}
+
+func (f Fault) String() string {
+	text := f.What
+	if len(f.Who) > 0 {
+		text += " " + strings.Join(f.Who, ",")
+	}
+	if f.Class != "" {
+		text += " " + f.Class
+	}
+	if f.State != "" {
+		text += " " + f.State
+	}
+	return text
+}
+
+// MarshalText words the time with its unit.
+func (s Span) MarshalText() ([]byte, error) { return []byte(s.Duration.String()), nil }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -96,6 +96,7 @@
 	}
 	if n.peers != nil {
 		defer n.peers.conn.Close()
+		log.Printf("%s takes datagrams on %s", n.cfg.Name, n.peers.conn.LocalAddr())
 		go n.peers.receive(n.post)
 	}
 	n.post(listNews{kind: balance.ListCached, list: n.cfg.Known})
