--- a/cmd/ivylab/main.go
+++ b/cmd/ivylab/main.go
@@ -8,14 +8,20 @@
 	"os/signal"
 	"syscall"
 
+	"golang.org/x/term"
+
 	"barrowscale/internal/lab/command"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	info, err := os.Stdout.Stat()
-	terminal := err == nil && info.Mode()&os.ModeCharDevice != 0 && os.Getenv("TERM") != "dumb"
-	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, terminal)
+	rows := 0
+	if fd := int(os.Stdout.Fd()); term.IsTerminal(fd) && os.Getenv("TERM") != "dumb" {
+		if _, height, err := term.GetSize(fd); err == nil {
+			rows = height
+		}
+	}
+	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, rows)
 	stop()
 	os.Exit(code)
 }
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -132,6 +132,7 @@
 
 // Order sends an order with its retries and returns when it is over.
 func (c *Clients) Order(o *load.Order) {
+	c.Record(history.Event{At: c.Clock(), Kind: history.Ask, Order: o.ID, Class: o.Class.Name})
 	for n := 0; ; n++ {
 		st, retryAfter := c.try(o, n)
 		wait, again := load.Again(c.Scenario, o, n, st, retryAfter, c.Clock())
--- a/internal/lab/clipserver/server.go
+++ b/internal/lab/clipserver/server.go
@@ -17,14 +17,13 @@
 
 	"barrowscale/internal/lab/clip"
 	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/socket"
 )
 
 const (
 	maxBody  = 64 << 10
 	maxHead  = 16 << 10
 	idleTime = 60 * time.Second // a connection that stands idle for so long is closed
-	muteWait = 30 * time.Millisecond
-	backlog  = 512
 )
 
 // Config says what a Server works with.
@@ -57,7 +56,7 @@
 // door is the address for one node.
 type door struct {
 	node string
-	*place
+	*socket.Place
 	listener *net.TCPListener // nil: no process listens
 	fill     []net.Conn       // while muted
 	mute     bool
@@ -112,20 +111,20 @@
 
 // Listen opens an address for a node.
 func (s *Server) Listen(node string) (string, error) {
-	p, err := newPlace()
+	p, err := socket.NewPlace()
 	if err != nil {
 		return "", fmt.Errorf("%s: %w", s.Model.Name, err)
 	}
-	d := &door{node: node, place: p}
+	d := &door{node: node, Place: p}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.doors = append(s.doors, d)
-	return p.addr, s.open(d)
+	return p.Addr, s.open(d)
 }
 
 // open lets a door's process listen. The caller holds the lock.
 func (s *Server) open(d *door) error {
-	l, err := d.listen()
+	l, err := d.Listen()
 	if err != nil {
 		return fmt.Errorf("%s: %w", s.Model.Name, err)
 	}
@@ -159,7 +158,7 @@
 		s.mu.Lock()
 		if s.closed || d.listener != l || d.mute {
 			s.mu.Unlock()
-			abort(nc)
+			socket.Abort(nc)
 			continue
 		}
 		c.life = s.life
@@ -337,12 +336,12 @@
 			d.listener = nil
 		}
 		for _, f := range d.fill {
-			abort(f)
+			socket.Abort(f)
 		}
 		d.fill, d.mute = nil, false
 	}
 	for c := range s.conns {
-		abort(c.Conn)
+		socket.Abort(c.Conn)
 	}
 	s.muted = false
 }
@@ -384,8 +383,7 @@
 			continue
 		}
 		d.mute = true
-		d.listener.SetDeadline(time.Unix(1, 0))
-		fill, err := mute(d.listener)
+		fill, err := socket.Mute(d.listener)
 		if err != nil {
 			return fmt.Errorf("%s: %w", s.Model.Name, err)
 		}
@@ -431,17 +429,9 @@
 	s.timer.Stop()
 	s.die()
 	for _, d := range s.doors {
-		d.close()
+		d.Place.Close()
 	}
 	s.doors = nil
 	s.mu.Unlock()
 	s.wait.Wait()
 }
-
-// abort closes a connection with a reset.
-func abort(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -48,12 +48,13 @@
 
 type app struct {
 	out, err io.Writer
-	terminal bool
+	rows     int // of the terminal; 0: there is none
 }
 
-// Run carries out a command line and gives the exit code.
-func Run(ctx context.Context, args []string, out, errs io.Writer, terminal bool) int {
-	a := &app{out, errs, terminal}
+// Run carries out a command line and gives the exit code. rows is the height
+// of the terminal that out is, or 0 if it is none.
+func Run(ctx context.Context, args []string, out, errs io.Writer, rows int) int {
+	a := &app{out, errs, rows}
 	if len(args) == 0 {
 		fmt.Fprint(errs, usage)
 		return Misuse
@@ -218,7 +219,7 @@
 // follow shows a run until it is over: a screen that changes, or plain lines.
 func (a *app) follow(h *real.Hall, l *show.Live, s *scenario.Scenario, over <-chan struct{}, screen bool) {
 	every := 2 * time.Second
-	if screen = screen && a.terminal; screen {
+	if screen = screen && a.rows > 0; screen {
 		every = 250 * time.Millisecond
 		fmt.Fprint(a.out, "\x1b[?25l\x1b[2J")         // no cursor, a clean screen
 		defer fmt.Fprint(a.out, "\x1b[?25h\x1b[0m\n") // as it was
@@ -231,7 +232,7 @@
 			return
 		case <-t.C:
 			if screen {
-				text := l.Screen("ivylab "+s.Name, h.Clock(), s.Length.Duration, h.Rows())
+				text := l.Screen("ivylab "+s.Name, h.Clock(), s.Length.Duration, h.Rows(), a.rows-1)
 				fmt.Fprint(a.out, "\x1b[H"+strings.ReplaceAll(text, "\n", "\x1b[K\n")+"\x1b[J")
 			} else {
 				fmt.Fprintln(a.out, l.Line(h.Clock(), h.Rows()))
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -78,6 +78,7 @@
 
 // The kinds. The fields that each uses stand behind it.
 const (
+	Ask        Kind = "ask"        // Order, Class: a client wants something, whether or not a node takes it
 	Try        Kind = "try"        // Order, Try, Class, Node, Number, Deadline: the request's last byte is written
 	Answer     Kind = "answer"     // Try, Status, Server: the answer's last byte, or the end of waiting for it
 	Extra      Kind = "extra"      // Try: more came on the connection behind the answer
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -95,6 +95,7 @@
 	*history.History
 	tries    map[string]*try
 	order    []*try
+	asks     []history.Event
 	classes  map[string]*history.Class
 	servers  map[string]history.Server
 	ended    map[string][]history.Event // node: kills and starts, in order
@@ -114,6 +115,8 @@
 	for _, e := range h.Events {
 		c.end = max(c.end, e.At)
 		switch e.Kind {
+		case history.Ask:
+			c.asks = append(c.asks, e)
 		case history.Try:
 			t := c.tryOf(e.Try)
 			t.sent, t.firstSeen, t.class = e, true, c.classes[e.Class]
--- a/internal/lab/judge/service.go
+++ b/internal/lab/judge/service.go
@@ -93,17 +93,26 @@
 		byClass[s.Classes[i].Class] = &s.Classes[i]
 	}
 	servedBy := map[string]string{} // try: the server whose answer counted
+	orderOf := func(e history.Event) *order {
+		o := orders[e.Order]
+		if o == nil {
+			o = &order{class: c.classes[e.Class], at: e.At}
+			orders[e.Order] = o
+			list = append(list, o)
+			byClass[e.Class].Orders++
+		}
+		return o
+	}
+	for _, e := range c.asks { // also those that no node took
+		if c.classes[e.Class] != nil {
+			orderOf(e)
+		}
+	}
 	for _, t := range c.order {
 		if t.class == nil {
 			continue
 		}
-		o, count := orders[t.sent.Order], byClass[t.class.Name]
-		if o == nil {
-			o = &order{class: t.class, at: t.sent.At}
-			orders[t.sent.Order] = o
-			list = append(list, o)
-			count.Orders++
-		}
+		o, count := orderOf(t.sent), byClass[t.class.Name]
 		o.ended = max(o.ended, t.sent.Deadline)
 		s.Attempts, s.Runs = s.Attempts+len(t.attempts), s.Runs+len(t.runs)
 		if len(t.answers) == 0 {
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,229 @@
+package link
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func proxy(t *testing.T) *TCP {
+	t.Helper()
+	start, target := time.Now(), echo(t)
+	p, err := NewTCP(func() string { return target }, func() time.Duration { return time.Since(start) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+func dial(t *testing.T, p *TCP) net.Conn {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", p.Addr(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// say sends a line and waits so long for it to come back.
+func say(c net.Conn, within time.Duration) (took time.Duration, err error) {
+	start := time.Now()
+	c.SetDeadline(start.Add(within))
+	if _, err := io.WriteString(c, "hello\n"); err != nil {
+		return 0, err
+	}
+	_, err = bufio.NewReader(c).ReadString('\n')
+	return time.Since(start), err
+}
+
+func set(t *testing.T, p *TCP, s Shape) {
+	t.Helper()
+	if err := p.Set(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestItPassesAndDelays(t *testing.T) {
+	p := proxy(t)
+	c := dial(t, p)
+	if _, err := say(c, patience); err != nil {
+		t.Fatal(err)
+	}
+	set(t, p, Shape{Delay: 60 * time.Millisecond})
+	if took, err := say(c, patience); err != nil || took < 120*time.Millisecond {
+		t.Errorf("there and back took %v, %v", took, err)
+	}
+	set(t, p, Shape{Loss: 1})
+	if took, err := say(c, patience); err != nil || took < 2*retransmit {
+		t.Errorf("with every segment lost once it took %v, %v", took, err)
+	}
+	set(t, p, Shape{Rate: 60})
+	if took, err := say(c, patience); err != nil || took < 180*time.Millisecond {
+		t.Errorf("6 bytes each way at 60 a second took %v, %v", took, err)
+	}
+}
+
+func TestABlackHoleIsSilentAndResetsWhenItEnds(t *testing.T) {
+	p := proxy(t)
+	c := dial(t, p)
+	if _, err := say(c, patience); err != nil {
+		t.Fatal(err)
+	}
+	set(t, p, Shape{State: BlackHole})
+	if _, err := say(c, 200*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("an open connection: %v", err)
+	}
+	if n, err := net.DialTimeout("tcp", p.Addr(), 200*time.Millisecond); err == nil {
+		n.Close()
+		t.Error("a new one came up")
+	}
+	set(t, p, Shape{})
+	if _, err := say(c, patience); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("afterwards the old one: %v", err)
+	}
+	if _, err := say(dial(t, p), patience); err != nil {
+		t.Errorf("afterwards a new one: %v", err)
+	}
+}
+
+func TestHalfOpenLosesWhatTheDiallerSends(t *testing.T) {
+	p := proxy(t)
+	c := dial(t, p)
+	set(t, p, Shape{State: HalfOpen})
+	if _, err := say(c, 200*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%v", err)
+	}
+	if _, err := say(dial(t, p), 200*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a new connection: %v", err)
+	}
+}
+
+func TestResetBreaksWhatStandsAndWhatComes(t *testing.T) {
+	p := proxy(t)
+	c := dial(t, p)
+	if _, err := say(c, patience); err != nil {
+		t.Fatal(err)
+	}
+	set(t, p, Shape{State: Reset})
+	if _, err := say(c, patience); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("an open connection: %v", err)
+	}
+	if _, err := say(dial(t, p), patience); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a new one: %v", err)
+	}
+}
+
+// The time at which a request was sent is that of its entry, not that at which
+// a slow link delivers it.
+func TestItTellsWhenABurstEntered(t *testing.T) {
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p, err := NewTCP(l.Addr().String, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	set(t, p, Shape{Delay: 150 * time.Millisecond})
+	c := dial(t, p)
+	before := clock()
+	io.WriteString(c, "hello\n")
+	s, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := bufio.NewReader(s).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	got, known := p.Entered(s.RemoteAddr().String())
+	if !known || got < before || clock()-got < 150*time.Millisecond {
+		t.Errorf("entered at %v, %v; sent at %v, read at %v", got, known, before, clock())
+	}
+}
+
+func TestDatagramsComeFromTheSendersAddressLateOrNotAtAll(t *testing.T) {
+	receiver, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer receiver.Close()
+	var mu sync.Mutex
+	seen := 0
+	through, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer through.Close()
+	relay, err := NewUDP(func() []Hop { return []Hop{{through, receiver.LocalAddr()}} }, func(bytes, receivers int) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen += bytes * receivers
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	sender, err := net.Dial("udp", relay.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sender.Close()
+	relay.Set(Shape{Delay: 50 * time.Millisecond})
+	start := time.Now()
+	io.WriteString(sender, "one")
+	buf := make([]byte, 16)
+	receiver.SetReadDeadline(time.Now().Add(patience))
+	n, from, err := receiver.ReadFrom(buf)
+	if err != nil || string(buf[:n]) != "one" || from.String() != through.LocalAddr().String() || time.Since(start) < 50*time.Millisecond {
+		t.Errorf("%q from %v after %v, %v", buf[:n], from, time.Since(start), err)
+	}
+	relay.Set(Shape{Loss: 1})
+	io.WriteString(sender, "two")
+	for end := time.Now().Add(patience); relay.Dropped.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("nothing was dropped")
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if seen != 6 {
+		t.Errorf("it was told of %d bytes", seen)
+	}
+}
--- a/internal/lab/link/tcp.go
+++ b/internal/lab/link/tcp.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"barrowscale/internal/lab/socket"
 )
 
 // State is what a link does beside delay.
@@ -41,7 +43,8 @@
 // TCP is a proxy in front of one address. Its methods may be called from
 // several goroutines.
 type TCP struct {
-	listener net.Listener
+	listener *net.TCPListener
+	fill     []net.Conn // while it is a black hole
 	target   func() string
 	clock    func() time.Duration
 	mu       sync.Mutex
@@ -68,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &TCP{listener: l, target: target, clock: clock, changed: make(chan struct{}), pairs: map[*pair]bool{}, byLocal: map[string]*pair{}}
+	p := &TCP{listener: l.(*net.TCPListener), target: target, clock: clock, changed: make(chan struct{}), pairs: map[*pair]bool{}, byLocal: map[string]*pair{}}
 	go p.accept()
 	return p, nil
 }
@@ -78,10 +81,18 @@
 
 // Set changes the link for what passes from now on. What stood on a link that
 // was reset, half-open or a black hole is reset when that begins or ends.
-func (p *TCP) Set(s Shape) {
+func (p *TCP) Set(s Shape) error {
 	p.mu.Lock()
 	old := p.shape
 	p.shape = s
+	var err error
+	switch deaf := old.State == BlackHole; {
+	case !deaf && s.State == BlackHole:
+		p.fill, err = socket.Mute(p.listener) // nothing comes up any more
+	case deaf && s.State != BlackHole:
+		err = socket.Unmute(p.listener, p.fill)
+		p.fill = nil
+	}
 	var cut []net.Conn
 	if s.State == Reset || old.State != Open && s.State == Open {
 		cut = p.all()
@@ -90,8 +101,9 @@
 	p.changed = make(chan struct{})
 	p.mu.Unlock()
 	for _, c := range cut {
-		abort(c)
+		socket.Abort(c)
 	}
+	return err
 }
 
 // all lists every connection. The caller holds the lock.
@@ -123,10 +135,14 @@
 	p.mu.Lock()
 	p.closed = true
 	all := p.all()
+	fill := p.fill
 	p.mu.Unlock()
 	p.listener.Close()
+	for _, c := range fill {
+		socket.Abort(c)
+	}
 	for _, c := range all {
-		abort(c)
+		socket.Abort(c)
 	}
 }
 
@@ -139,11 +155,13 @@
 func (p *TCP) accept() {
 	for {
 		near, err := p.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil {
+		switch {
+		case err == nil:
 			go p.serve(near)
+		case errors.Is(err, net.ErrClosed):
+			return
+		default: // deaf: Set will change that, or Close end it
+			time.Sleep(2 * time.Millisecond)
 		}
 	}
 }
@@ -151,7 +169,7 @@
 func (p *TCP) serve(near net.Conn) {
 	defer near.Close()
 	if s, _ := p.now(); s.State == Reset {
-		abort(near)
+		socket.Abort(near)
 		return
 	}
 	c := &pair{near: near}
@@ -160,7 +178,7 @@
 	if p.closed || len(p.pairs) >= maxConns {
 		p.mu.Unlock()
 		p.Refused.Add(1)
-		abort(near)
+		socket.Abort(near)
 		return
 	}
 	p.pairs[c] = true
@@ -173,12 +191,9 @@
 		}
 		p.mu.Unlock()
 	}()
-	if !p.hold(BlackHole) { // the way in is a black hole: nothing comes up behind it
-		return
-	}
 	far, err := net.DialTimeout("tcp", p.target(), dialTime)
 	if err != nil {
-		abort(near)
+		socket.Abort(near)
 		return
 	}
 	defer far.Close()
@@ -259,11 +274,11 @@
 			lost = append(lost, HalfOpen)
 		}
 		if !p.hold(lost...) || c.cut.Load() {
-			abort(from)
+			socket.Abort(from)
 			break
 		}
 		if _, err := to.Write(x.data); err != nil {
-			abort(from) // so that the reader ends, and its peer hears of it
+			socket.Abort(from) // so that the reader ends, and its peer hears of it
 			break
 		}
 	}
@@ -280,11 +295,3 @@
 	}
 	return a
 }
-
-// abort closes a connection with a reset.
-func abort(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.Close()
-}
--- a/internal/lab/memory/client.go
+++ b/internal/lab/memory/client.go
@@ -52,6 +52,9 @@
 // try sends one try. Its time counts from here.
 func (w *world) try(o *load.Order, number int) {
 	c := &client{w: w, order: o, number: number, try: fmt.Sprintf("%s.%d", o.ID, number), node: w.deal(o.Hall)}
+	if number == 0 {
+		w.record(history.Event{Kind: history.Ask, Order: o.ID, Class: o.Class.Name})
+	}
 	patience := load.Patience(w.s, o, w.now)
 	if c.node == nil || !c.node.up {
 		c.again(history.Unreachable, 0)
--- /dev/null
+++ b/internal/lab/memory/mutant_test.go
@@ -0,0 +1,155 @@
+package memory
+
+import (
+	"testing"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/internal/lab/judge"
+	"barrowscale/internal/lab/scenario"
+	"barrowscale/scenarios"
+)
+
+// Each row is a node that is broken on purpose: the judge must catch it by
+// what reached the stand-ins, and by the rule that it breaks.
+func TestBrokenNodesAreCaught(t *testing.T) {
+	classes := map[balance.RequestID]string{}
+	remember := func(e balance.Event) {
+		if a, is := e.(balance.RequestArrived); is {
+			classes[a.ID] = a.Class
+		}
+	}
+	each := func(actions []balance.Action, change func(balance.Action) []balance.Action) []balance.Action {
+		var out []balance.Action
+		for _, a := range actions {
+			out = append(out, change(a)...)
+		}
+		return out
+	}
+	keep := func(a balance.Action) []balance.Action { return []balance.Action{a} }
+	for _, c := range []struct {
+		name     string
+		scenario string
+		rule     judge.Rule
+		deaf     bool
+		mutant   Mutant
+	}{
+		{"forgets to refuse", "overlap", judge.NoRequestLost, false, func(_ time.Duration, _ string, _ balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if _, is := a.(balance.Refuse); is {
+					return nil
+				}
+				return keep(a)
+			})
+		}},
+		{"forgets to fail", "hang", judge.NoRequestLost, false, func(_ time.Duration, _ string, _ balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if _, is := a.(balance.Fail); is {
+					return nil
+				}
+				return keep(a)
+			})
+		}},
+		{"loses one request in fifty", "quiet", judge.NoRequestLost, false, func() Mutant {
+			n := 0
+			return func(_ time.Duration, _ string, e balance.Event, actions []balance.Action) []balance.Action {
+				if _, is := e.(balance.RequestArrived); is {
+					if n++; n%50 == 0 {
+						return nil
+					}
+				}
+				return actions
+			}
+		}()},
+		{"refuses what may have run", "hang", judge.NoEffectTwice, false, func(_ time.Duration, _ string, _ balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if f, is := a.(balance.Fail); is {
+					return keep(balance.Refuse{ID: f.ID})
+				}
+				return keep(a)
+			})
+		}},
+		{"sends a second copy of everything", "quiet", judge.NoEffectTwice, false, func(_ time.Duration, _ string, _ balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if s, is := a.(balance.Send); is {
+					return []balance.Action{s, balance.Send{ID: s.ID, Server: s.Server%12 + 1}}
+				}
+				return keep(a)
+			})
+		}},
+		{"tries cut-orders again after a reset", "replace", judge.NoEffectTwice, false, func(_ time.Duration, _ string, e balance.Event, actions []balance.Action) []balance.Action {
+			remember(e)
+			if x, is := e.(balance.AttemptEnded); is && x.Code == balance.Reset && classes[x.ID] == "cut-order" {
+				return []balance.Action{balance.Send{ID: x.ID, Server: x.Server%12 + 1}}
+			}
+			return actions
+		}},
+		{"sends to a server that drains", "drain", judge.DrainsKept, true, func(now time.Duration, _ string, _ balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if s, is := a.(balance.Send); is && now > 6*time.Second && now < 8*time.Second {
+					s.Server = 1 // hall-nord.1
+					return keep(s)
+				}
+				return keep(a)
+			})
+		}},
+		{"does not hear of drains", "drain", judge.DrainsKept, true, func(_ time.Duration, _ string, e balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if s, is := a.(balance.Send); is {
+					s.Server = s.Server%12 + 1 // wherever it would go, the next one
+					return keep(s)
+				}
+				return keep(a)
+			})
+		}},
+		{"one node of three does not hear of them", "drain", judge.DrainsKept, true, func(_ time.Duration, node string, e balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if s, is := a.(balance.Send); is && node == "n1" {
+					s.Server = s.Server%12 + 1
+					return keep(s)
+				}
+				return keep(a)
+			})
+		}},
+		{"sends all to the one that is cold", "silent", judge.ColdNotPushed, false, func(now time.Duration, _ string, _ balance.Event, actions []balance.Action) []balance.Action {
+			return each(actions, func(a balance.Action) []balance.Action {
+				if s, is := a.(balance.Send); is && now > 15500*time.Millisecond {
+					s.Server = 1
+					return keep(s)
+				}
+				return keep(a)
+			})
+		}},
+		{"sends half to the one that is cold", "silent", judge.ColdNotPushed, false, func() Mutant {
+			n := 0
+			return func(now time.Duration, _ string, _ balance.Event, actions []balance.Action) []balance.Action {
+				return each(actions, func(a balance.Action) []balance.Action {
+					if s, is := a.(balance.Send); is && now > 15500*time.Millisecond {
+						if n++; n%2 == 0 {
+							s.Server = 10
+						}
+						return keep(s)
+					}
+					return keep(a)
+				})
+			}
+		}()},
+		{"probes the one that is cold without end", "silent", judge.ColdNotPushed, false, func(now time.Duration, _ string, e balance.Event, actions []balance.Action) []balance.Action {
+			if _, is := e.(balance.TimerFired); is && now > 15100*time.Millisecond && now < 18*time.Second {
+				for range 20 {
+					actions = append(actions, balance.Probe{Server: 1})
+				}
+			}
+			return actions
+		}},
+	} {
+		s, err := scenario.LoadFile(scenarios.Files, c.scenario+".toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := judge.Judge(Run(s, Options{Mutant: c.mutant, Deaf: c.deaf}))
+		if v.Counts[c.rule] == 0 {
+			t.Errorf("a node that %s is not caught: %v", c.name, v.Counts)
+		}
+	}
+}
--- a/internal/lab/memory/node.go
+++ b/internal/lab/memory/node.go
@@ -306,7 +306,7 @@
 // request is over: guards as the shell's check before the first byte does.
 func (a *attempt) write(delay, work time.Duration) {
 	n, w := a.node, a.node.w
-	if a.server.closed || a.request != nil && a.request.over {
+	if a.server.closed && !w.deaf || a.request != nil && a.request.over {
 		n.keep(a.to, a.toLife)
 		a.finish(balance.Moot)
 		return
--- a/internal/lab/memory/world.go
+++ b/internal/lab/memory/world.go
@@ -24,8 +24,13 @@
 // Unix is the Unix time at which the lab's clock reads 0 in memory.
 const Unix = 1_800_000_000 * time.Second
 
-// maxSteps bounds a run: a node that sends for ever must not hang a sweep.
-const maxSteps = 50_000_000
+// Bounds of a run: a node that sends for ever must not hang a sweep, nor one
+// that plans ever more things at once fill the memory. A run that is cut short
+// shows in its history as requests without answers.
+const (
+	maxSteps  = 50_000_000
+	maxQueued = 1_000_000
+)
 
 // Mutant changes what a module wants done before it is done. It is how the
 // judge is shown to catch a broken node.
@@ -35,6 +40,7 @@
 type Options struct {
 	Seed   int64  // 0: the scenario's
 	Mutant Mutant // nil: none
+	Deaf   bool   // a broken shell: it sends without looking again whether the server drains
 }
 
 // world is one run.
@@ -56,6 +62,7 @@
 	turn     map[string]int // the front's round robin, by hall
 	attempts uint64
 	mutant   Mutant
+	deaf     bool
 	open     map[*node][]*client // that wait at a node
 	links    map[pair]link
 }
@@ -66,7 +73,7 @@
 		o.Seed = s.Seed
 	}
 	w := &world{s: s, rng: rand.New(rand.NewPCG(uint64(o.Seed), 0x6d656d)), byName: map[string]*machine{},
-		pods: map[int]*clip.Pod{}, registry: hosts.NewRegistry(40), turn: map[string]int{}, open: map[*node][]*client{}, links: map[pair]link{}, mutant: o.Mutant, lag: s.Hosts.Lag.Duration}
+		pods: map[int]*clip.Pod{}, registry: hosts.NewRegistry(40), turn: map[string]int{}, open: map[*node][]*client{}, links: map[pair]link{}, mutant: o.Mutant, deaf: o.Deaf, lag: s.Hosts.Lag.Duration}
 	w.setup = history.Setup{Scenario: s.Name, Seed: o.Seed, Length: s.Length.Duration, Classes: load.ClassesOf(s), Limits: load.Limits}
 	for _, x := range s.Servers() {
 		w.addServer(x)
@@ -88,7 +95,7 @@
 		longest = max(longest, c.Deadline)
 	}
 	end := s.End() + longest + time.Second
-	for steps := 0; len(w.queue) > 0 && steps < maxSteps; steps++ {
+	for steps := 0; len(w.queue) > 0 && len(w.queue) < maxQueued && steps < maxSteps; steps++ {
 		e := heap.Pop(&w.queue).(event)
 		if e.at > end {
 			break
--- a/internal/lab/real/faults.go
+++ b/internal/lab/real/faults.go
@@ -80,7 +80,7 @@
 		set := func(s link.Shape) func() {
 			return func() {
 				for _, p := range h.pairs(f.Who) {
-					p.slot.links[p.node].Set(s)
+					h.fail(p.slot.links[p.node].Set(s))
 				}
 			}
 		}
--- a/internal/lab/real/hall.go
+++ b/internal/lab/real/hall.go
@@ -264,14 +264,17 @@
 		h.nodes[j].mu.Lock()
 		proc := h.nodes[j].proc
 		h.nodes[j].mu.Unlock()
-		if proc == nil || proc.PeerAddr() == "" || h.relays[j][i] == nil {
+		h.mu.Lock()
+		back := h.relays[j][i]
+		h.mu.Unlock()
+		if proc == nil || proc.PeerAddr() == "" || back == nil {
 			return nil
 		}
 		to, err := net.ResolveUDPAddr("udp", proc.PeerAddr())
 		if err != nil {
 			return nil
 		}
-		return []link.Hop{{From: h.relays[j][i].Conn(), To: to}}
+		return []link.Hop{{From: back.Conn(), To: to}}
 	}
 	told := func(i int) func(int, int) {
 		return func(bytes, receivers int) {
@@ -290,7 +293,9 @@
 				return err
 			}
 			u.Set(shape)
+			h.mu.Lock()
 			h.relays[i][j] = u
+			h.mu.Unlock()
 		}
 		u, err := link.NewUDP(func() []link.Hop {
 			var all []link.Hop
--- a/internal/lab/show/live.go
+++ b/internal/lab/show/live.go
@@ -54,11 +54,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch e.Kind {
-	case history.Try:
+	case history.Ask, history.Try:
 		if len(l.tries) > maxKnown {
 			l.tries, l.orders = map[string]history.Event{}, map[string]history.Event{}
 		}
-		l.tries[e.Try] = e
+		if e.Kind == history.Try {
+			l.tries[e.Try] = e
+		}
 		if _, known := l.orders[e.Order]; !known {
 			l.orders[e.Order] = e
 			if c := l.byName[e.Class]; c != nil {
@@ -133,17 +135,18 @@
 	return out
 }
 
-// Screen words the whole screen.
-func (l *Live) Screen(title string, now, length time.Duration, rows []real.Row) string {
+// Screen words the whole screen, in so many lines at most.
+func (l *Live) Screen(title string, now, length time.Duration, rows []real.Row, lines int) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s   %5.1f s of %.0f s   worth served %5.1f%%   refused %d\n\n", title, now.Seconds(), length.Seconds(), 100*l.share(), l.refused)
+	fmt.Fprintf(&b, "%s   %5.1f s of %.0f s   worth served %5.1f%%   refused %d\n", title, now.Seconds(), length.Seconds(), 100*l.share(), l.refused)
+	b.WriteString("now: " + l.now() + "\n")
 	fmt.Fprintf(&b, "%-16s %9s %11s %9s %9s %9s\n", "last 5 s", "answers/s", "within aim", "refused", "p50", "p99")
 	for _, f := range l.figures(now) {
 		fmt.Fprintf(&b, "%-16s %9.0f %10.1f%% %8.1f%% %6d ms %6d ms\n", f.name, f.rate, 100*f.within, 100*f.refused, f.p50.Milliseconds(), f.p99.Milliseconds())
 	}
-	fmt.Fprintf(&b, "\n%-14s %-8s %-9s %-11s %9s %7s\n", "server", "kind", "state", "warm", "in flight", "queue")
+	fmt.Fprintf(&b, "%-14s %-8s %-9s %-11s %9s %7s\n", "server", "kind", "state", "warm", "in flight", "queue")
 	for _, r := range rows {
 		state := r.State
 		if state == "" {
@@ -151,11 +154,11 @@
 		}
 		fmt.Fprintf(&b, "%-14s %-8s %-9s %-11s %9d %7d  %s\n", r.Name, r.Kind, state, warmth(r.Part), r.Active+r.Waiting, r.Waiting, strings.Repeat("#", min(r.Active+r.Waiting, 30)))
 	}
-	b.WriteString("\nnow: " + l.now() + "\n")
 	for _, n := range l.notes {
 		b.WriteString(n + "\n")
 	}
-	return b.String()
+	all := strings.SplitAfter(b.String(), "\n")
+	return strings.Join(all[:min(len(all), max(1, lines))], "")
 }
 
 // Line words the state on one line.
--- a/internal/lab/show/report.go
+++ b/internal/lab/show/report.go
@@ -123,7 +123,11 @@
 	}
 	step := max(1, p.seconds/10)
 	for t := 0; t <= p.seconds; t += step {
-		fmt.Fprintf(&b, `<text class="axis" text-anchor="middle" x="%.1f" y="%g">%d s</text>`, x(float64(t)), plotHeight-8, t)
+		anchor := "middle"
+		if t == p.seconds {
+			anchor = "end"
+		}
+		fmt.Fprintf(&b, `<text class="axis" text-anchor="%s" x="%.1f" y="%g">%d s</text>`, anchor, x(float64(t)), plotHeight-8, t)
 	}
 	out := drawn{Title: title}
 	for i, l := range lines {
--- a/internal/lab/show/series.go
+++ b/internal/lab/show/series.go
@@ -53,8 +53,10 @@
 	begun := map[string]time.Duration{}
 	for _, e := range h.Events {
 		switch e.Kind {
-		case history.Try:
-			tries[e.Try] = e.Order
+		case history.Ask, history.Try:
+			if e.Kind == history.Try {
+				tries[e.Try] = e.Order
+			}
 			if _, known := orders[e.Order]; !known && classes[e.Class] != nil {
 				orders[e.Order] = order{classes[e.Class], e.At}
 				asked[second(e.At)] += classes[e.Class].Worth
--- /dev/null
+++ b/internal/lab/socket/socket_test.go
@@ -0,0 +1,100 @@
+package socket
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second
+
+func accept(l *net.TCPListener) <-chan net.Conn {
+	out := make(chan net.Conn, 16)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			if err != nil {
+				return
+			}
+			out <- c
+		}
+	}()
+	return out
+}
+
+func TestAPlaceRefusesUntilSomebodyListensAndKeepsItsPort(t *testing.T) {
+	p, err := NewPlace()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	for range 3 { // a process that comes and goes
+		if _, err := net.DialTimeout("tcp", p.Addr, patience); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("with no process: %v", err)
+		}
+		l, err := p.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := accept(l)
+		c, err := net.DialTimeout("tcp", p.Addr, patience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		(<-got).Close()
+		c.Close()
+		l.Close()
+	}
+}
+
+func TestAMutedListenerTakesNothingUntilItHearsAgain(t *testing.T) {
+	p, err := NewPlace()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	l, err := p.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	got := accept(l)
+	fill, err := Mute(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(fill) == 0 {
+		t.Fatal("nothing fills its backlog")
+	}
+	if c, err := net.DialTimeout("tcp", p.Addr, 300*time.Millisecond); err == nil {
+		c.Close()
+		t.Fatal("a connection came up")
+	} else if errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatal("it refuses, and should say nothing")
+	}
+	if err := Unmute(l, fill); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.DialTimeout("tcp", p.Addr, patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for {
+		select {
+		case s := <-got:
+			if s.RemoteAddr().String() == c.LocalAddr().String() {
+				return
+			}
+		case <-time.After(patience):
+			t.Fatal("it does not hear again")
+		}
+	}
+}
