--- a/internal/lab/clipserver/server.go
+++ b/internal/lab/clipserver/server.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"barrowscale/internal/lab/alarm"
 	"barrowscale/internal/lab/clip"
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/socket"
@@ -43,7 +44,7 @@
 	mu     sync.Mutex
 	doors  []*door
 	conns  map[*conn]bool
-	timer  *time.Timer
+	timer  *alarm.Alarm
 	jobs   map[uint64]*conn
 	nextID uint64
 	spoil  func() bool // whether to spoil the next answer
@@ -80,7 +81,7 @@
 // New makes a server whose process runs and has been running for long.
 func New(c Config) *Server {
 	s := &Server{Config: c, conns: map[*conn]bool{}, jobs: map[uint64]*conn{}}
-	s.timer = time.AfterFunc(time.Hour, s.tick)
+	s.timer = alarm.New(func() { go s.tick() }) // it may wait for the lock
 	s.watch()
 	c.Record(c.Model.Start(c.Clock(), false))
 	return s
@@ -316,7 +317,7 @@
 		}
 	}
 	if t, any := s.Model.Next(); any {
-		s.timer.Reset(max(0, t-now))
+		s.timer.Set(t - now)
 	}
 }
 
--- a/internal/lab/command/ceiling.go
+++ b/internal/lab/command/ceiling.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"barrowscale/internal/lab/alarm"
 	"barrowscale/internal/lab/caller"
 	"barrowscale/internal/lab/clip"
 	"barrowscale/internal/lab/clipserver"
@@ -92,9 +93,7 @@
 			break
 		}
 		due := begin + o.At
-		if d := due - clock(); d > 0 {
-			time.Sleep(d)
-		}
+		alarm.Sleep(due - clock())
 		lates = append(lates, clock()-due)
 		work[o.ID] = o.Work
 		o.At = due
--- a/internal/lab/real/run.go
+++ b/internal/lab/real/run.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"barrowscale/internal/lab/alarm"
 	"barrowscale/internal/lab/clip"
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/judge"
@@ -61,6 +62,9 @@
 	}
 }
 
+// long is a wait that must end with the run.
+const long = 100 * time.Millisecond
+
 // play sends the orders at their times, whatever became of those before.
 func (h *Hall) play(ctx context.Context, st *load.Stream) {
 	room := make(chan struct{}, maxOrders)
@@ -69,9 +73,11 @@
 		if !more {
 			return
 		}
-		if d := o.At - h.Clock(); d > 0 && !wait(ctx, d) || ctx.Err() != nil {
+		d := o.At - h.Clock()
+		if d > long && !wait(ctx, d-long) || ctx.Err() != nil {
 			return
 		}
+		alarm.Sleep(o.At - h.Clock()) // to a fraction of a millisecond
 		select {
 		case room <- struct{}{}:
 		default:
