--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -81,13 +81,12 @@
 
 // try is all that a history tells of one try.
 type try struct {
-	sent      history.Event
-	answers   []history.Event
-	attempts  []history.Event // that reached a server, in order
-	runs      []history.Event
-	extra     []history.Event
-	class     *history.Class
-	firstSeen bool
+	sent     history.Event
+	answers  []history.Event
+	attempts []history.Event // that reached a server, in order
+	runs     []history.Event
+	extra    []history.Event
+	class    *history.Class
 }
 
 // hearing is the history put in order for the rules.
@@ -119,7 +118,7 @@
 			c.asks = append(c.asks, e)
 		case history.Try:
 			t := c.tryOf(e.Try)
-			t.sent, t.firstSeen, t.class = e, true, c.classes[e.Class]
+			t.sent, t.class = e, c.classes[e.Class]
 			c.order = append(c.order, t)
 		case history.Answer:
 			t := c.tryOf(e.Try)
--- a/internal/lab/real/real_test.go
+++ b/internal/lab/real/real_test.go
@@ -206,6 +206,26 @@
 `)
 }
 
+func TestAHallIsLostTwiceOnceWithItsNode(t *testing.T) {
+	t.Parallel()
+	play(t, `name = "lost"
+length = "10s"
+`+halls+`
+[load]
+rate = 40.0
+[[fault]]
+at = "1s"
+for = "2500ms"
+what = "hall-lost"
+who = ["hall-nord"]
+[[fault]]
+at = "5s"
+for = "3s"
+what = "hall-lost-nodes"
+who = ["hall-syd"]
+`)
+}
+
 // No port is fixed and none raced for: the same scenario twice at once passes
 // twice.
 func TestTwiceAtOnce(t *testing.T) {
