Fill a muted listener's backlog until two dials in a row stay silent

Mute took a single dial that got no answer within 30 ms for a full backlog, which a stall of the machine can feign, and then a black hole lets a connection in.

Change: two dials in a row must stay silent, and up to eight may fill it.

--- a/internal/lab/socket/socket.go
+++ b/internal/lab/socket/socket.go
@@ -15,8 +15,9 @@
 const soReusePort = 0xf
 
 const (
-	backlog  = 512
-	muteWait = 30 * time.Millisecond // for a connection of our own to fill the backlog
+	backlog   = 512
+	muteTries = 8
+	muteWait  = 30 * time.Millisecond // for a connection of our own to fill the backlog
 )
 
 // Place is a loopback address that stays its owner's also while no process
@@ -95,12 +96,21 @@
 		return nil, err
 	}
 	var fill []net.Conn
-	for range 4 { // a backlog of 0 takes one; a late accept may have made room for another
-		c, err := net.DialTimeout("tcp", l.Addr().String(), muteWait)
-		if err != nil {
+	// A backlog of 0 takes one; a late accept may have made room for another.
+	// Two in a row must fail: one alone may only mean a busy machine.
+	for range muteTries {
+		silent := 0
+		for silent < 2 {
+			c, err := net.DialTimeout("tcp", l.Addr().String(), muteWait)
+			if err == nil {
+				fill = append(fill, c)
+				break
+			}
+			silent++
+		}
+		if silent == 2 {
 			break
 		}
-		fill = append(fill, c)
 	}
 	return fill, nil
 }
