--- a/cmd/ivylock-control/main.go
+++ b/cmd/ivylock-control/main.go
@@ -55,7 +55,10 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	s, err := control.New(f.Control, log)
 	if err != nil {
-		return faulty{fmt.Errorf("%s: %w", path, err)}
+		if f.Control.Cert != "" {
+			return faulty{f.Fault("control.cert", err)}
+		}
+		return faulty{f.Fault("control", err)}
 	}
 	l, err := net.Listen("tcp", f.Control.Listen)
 	if err != nil {
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -44,6 +44,7 @@
   ivylab bench                   the node on one core beside the standard library's proxy
   ivylab ceiling                 up to which rate the lab itself adds less than 1 ms
   ivylab xds-drain               how long proxies steered over xDS send to a drained server
+  ivylab xds-day                 days through nodes, through steered proxies, and without steering
   ivylab judge FILE              the verdict on a history that run -history wrote
 
 Each takes -h. Exit code 0: all that was asked held; 1: it did not; 2: nothing was started.
@@ -79,13 +80,15 @@
 		return a.ceiling(ctx, args[1:])
 	case "xds-drain":
 		return a.xdsDrain(ctx, args[1:])
+	case "xds-day":
+		return a.xdsDay(ctx, args[1:])
 	case proxyWord:
 		return a.reverseProxy(ctx, args[1:])
 	case "help", "-h", "-help", "--help":
 		fmt.Fprint(out, usage)
 		return Held
 	}
-	fmt.Fprintf(errs, "ivylab: unknown command %q; there are demo, list, run, sweep, bench, ceiling, xds-drain and judge\n", args[0])
+	fmt.Fprintf(errs, "ivylab: unknown command %q; there are demo, list, run, sweep, bench, ceiling, xds-drain, xds-day and judge\n", args[0])
 	return Misuse
 }
 
--- /dev/null
+++ b/internal/lab/command/xdsday.go
@@ -0,0 +1,97 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io/fs"
+	"runtime"
+	"strings"
+	"sync"
+
+	"barrowscale/internal/lab/judge"
+	"barrowscale/internal/lab/memory"
+	"barrowscale/internal/lab/scenario"
+	"barrowscale/internal/lab/steered"
+	"barrowscale/scenarios"
+)
+
+// xdsDay plays each scenario in memory in every way to choose a server.
+func (a *app) xdsDay(ctx context.Context, args []string) int {
+	f := flag.NewFlagSet("xds-day", flag.ContinueOnError)
+	seeds := f.Int("seeds", 5, "runs of each, with further seeds; 1 to 100")
+	if !a.parse(f, args, nil) {
+		return Misuse
+	}
+	if *seeds < 1 || *seeds > 100 {
+		return a.fail(Misuse, fmt.Errorf("xds-day: -seeds must be from 1 to 100"))
+	}
+	files, err := fs.Glob(scenarios.Files, "*.toml")
+	if err != nil {
+		return a.fail(Misuse, err)
+	}
+	type result struct {
+		measure  float64
+		breaches int
+	}
+	names := make([]string, len(files))
+	results := make([][]result, len(files))
+	room := make(chan struct{}, runtime.NumCPU())
+	var done sync.WaitGroup
+	var mu sync.Mutex
+	for i, file := range files {
+		s, err := scenario.LoadFile(scenarios.Files, file)
+		if err != nil {
+			return a.fail(Misuse, err)
+		}
+		names[i], results[i] = s.Name, make([]result, len(steered.Ways))
+		for j, way := range steered.Ways {
+			for seed := range *seeds {
+				done.Go(func() {
+					room <- struct{}{}
+					defer func() { <-room }()
+					if ctx.Err() != nil {
+						return
+					}
+					v := judge.Judge(memory.Run(s, memory.Options{Seed: s.Seed + int64(seed), Decider: steered.Deciders(way)}))
+					mu.Lock()
+					defer mu.Unlock()
+					results[i][j].measure += v.Service.Measure / float64(*seeds)
+					for _, n := range v.Counts {
+						results[i][j].breaches += n
+					}
+				})
+			}
+		}
+	}
+	done.Wait()
+	if ctx.Err() != nil {
+		return NotHeld
+	}
+	fmt.Fprintf(a.out, "%-12s", "measure")
+	for _, way := range steered.Ways {
+		fmt.Fprintf(a.out, " %16s", way)
+	}
+	fmt.Fprintln(a.out)
+	sums := make([]result, len(steered.Ways))
+	line := func(name string, rs []result, parts float64) {
+		var b strings.Builder
+		for _, r := range rs {
+			cell := fmt.Sprintf("%.3f", r.measure/parts)
+			if r.breaches > 0 {
+				cell += fmt.Sprintf(" (%d broken)", r.breaches)
+			}
+			fmt.Fprintf(&b, " %16s", cell)
+		}
+		fmt.Fprintf(a.out, "%-12s%s\n", name, b.String())
+	}
+	for i, name := range names {
+		line(name, results[i], 1)
+		for j, r := range results[i] {
+			sums[j].measure += r.measure
+			sums[j].breaches += r.breaches
+		}
+	}
+	line("mean", sums, float64(len(names)))
+	return Held
+}
--- a/internal/lab/memory/node.go
+++ b/internal/lab/memory/node.go
@@ -25,7 +25,7 @@
 	life     int // counts processes
 	up       bool
 	dealt    bool // the front sends it new requests
-	module   *balance.Module
+	module   Decider
 	requests map[balance.RequestID]*request
 	listed   map[balance.ServerID]*listed
 	pools    map[*machine]*pool
@@ -76,7 +76,12 @@
 func (n *node) start() {
 	n.life++
 	n.up = true
-	n.module = balance.New(nodeconf.Module(n.w.s, n.Number), int64(n.w.rng.Uint64()>>1))
+	settings, seed := nodeconf.Module(n.w.s, n.Number), int64(n.w.rng.Uint64()>>1)
+	if n.w.decider != nil {
+		n.module = n.w.decider(n.Node, settings, seed)
+	} else {
+		n.module = balance.New(settings, seed)
+	}
 	n.requests, n.listed = map[balance.RequestID]*request{}, map[balance.ServerID]*listed{}
 	n.pools, n.watching = map[*machine]*pool{}, false
 	if n.known.Instances == nil {
--- a/internal/lab/memory/world.go
+++ b/internal/lab/memory/world.go
@@ -36,11 +36,18 @@
 // judge is shown to catch a broken node.
 type Mutant func(now time.Duration, node string, e balance.Event, actions []balance.Action) []balance.Action
 
+// Decider decides for one node: *balance.Module, or what it is compared with.
+type Decider interface {
+	Handle(now balance.Time, e balance.Event) []balance.Action
+}
+
 // Options of a run.
 type Options struct {
-	Seed   int64  // 0: the scenario's
-	Mutant Mutant // nil: none
-	Deaf   bool   // a broken shell: it sends without looking again whether the server drains
+	Seed int64 // 0: the scenario's
+	// Decider makes each node's; nil: the decision module.
+	Decider func(n scenario.Node, s balance.Settings, seed int64) Decider
+	Mutant  Mutant // nil: none
+	Deaf    bool   // a broken shell: it sends without looking again whether the server drains
 }
 
 // world is one run.
@@ -64,6 +71,7 @@
 	attempts uint64
 	mutant   Mutant
 	deaf     bool
+	decider  func(scenario.Node, balance.Settings, int64) Decider
 	open     map[*node][]*client // that wait at a node
 	links    map[pair]link
 }
@@ -74,7 +82,7 @@
 		o.Seed = s.Seed
 	}
 	w := &world{s: s, rng: rand.New(rand.NewPCG(uint64(o.Seed), 0x6d656d)), byName: map[string]*machine{},
-		pods: map[int]*clip.Pod{}, registry: hosts.NewRegistry(40), turn: map[string]int{}, open: map[*node][]*client{}, links: map[pair]link{}, mutant: o.Mutant, deaf: o.Deaf, lag: s.Hosts.Lag.Duration}
+		pods: map[int]*clip.Pod{}, registry: hosts.NewRegistry(40), turn: map[string]int{}, open: map[*node][]*client{}, links: map[pair]link{}, mutant: o.Mutant, deaf: o.Deaf, decider: o.Decider, lag: s.Hosts.Lag.Duration}
 	w.setup = history.Setup{Scenario: s.Name, Seed: o.Seed, Length: s.Length.Duration, Classes: load.ClassesOf(s), Limits: load.Limits}
 	for _, x := range s.Servers() {
 		w.addServer(x)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,16 @@
 // File is the operator's file.
 type File struct {
 	Control *Control `toml:"control"`
+
+	path string
+	raw  []byte
+}
+
+// Fault tells of an error that has to do with a key, such as control.cert, in
+// the form of all that is wrong with the file.
+func (f *File) Fault(key string, err error) error {
+	text, _, _ := strings.Cut(err.Error(), "\n")
+	return &strict.Error{File: f.path, Line: strict.LineOf(f.raw, key), Text: text}
 }
 
 // Control sets the control service; docs/xds.md says what each key does.
@@ -81,7 +91,7 @@
 
 // Parse reads the text of a file.
 func Parse(path string, raw []byte) (*File, error) {
-	f := &File{}
+	f := &File{path: path, raw: raw}
 	if err := strict.Decode(path, raw, f, "docs/xds.md"); err != nil {
 		return nil, err
 	}
--- a/internal/xds/encode.go
+++ b/internal/xds/encode.go
@@ -72,6 +72,8 @@
 }
 
 const (
+	retries      = 2             // further attempts of a request
+	notStarted   = "not-started" // with "1": the server has not begun it (the platform's protocol)
 	leasedSuffix = "/leased"
 	heldSuffix   = "/held"
 )
@@ -428,7 +430,9 @@
 // retries says when another attempt may be made: for unsafe requests only when
 // the server cannot have seen the first one.
 func (e *encoder) retries(c Class) *routev3.RetryPolicy {
-	p := &routev3.RetryPolicy{RetryOn: "connect-failure,refused-stream", NumRetries: wrapperspb.UInt32(2)}
+	p := &routev3.RetryPolicy{RetryOn: "connect-failure,refused-stream,retriable-headers", NumRetries: wrapperspb.UInt32(retries),
+		RetriableHeaders: []*routev3.HeaderMatcher{{Name: notStarted, HeaderMatchSpecifier: &routev3.HeaderMatcher_StringMatch{
+			StringMatch: &matcherv3.StringMatcher{MatchPattern: &matcherv3.StringMatcher_Exact{Exact: "1"}}}}}}
 	if c.Effect == balance.Unsafe {
 		return p
 	}
@@ -436,6 +440,9 @@
 		return p // without a window nothing says how long the key is known
 	}
 	p.RetryOn += ",reset,gateway-error,unavailable"
+	if limit := routeTime(c); limit > 0 { // guards against a silent server that takes all the time there is
+		p.PerTryTimeout = durationpb.New(limit / (retries + 1))
+	}
 	p.RetryHostPredicate = []*routev3.RetryPolicy_RetryHostPredicate{{Name: "envoy.retry_host_predicates.previous_hosts",
 		ConfigType: &routev3.RetryPolicy_RetryHostPredicate_TypedConfig{
 			TypedConfig: e.any(&previoushostsv3.PreviousHostsPredicate{})}}}
