Weigh servers by size and delay, probe whoever is in doubt, measure 1,000 streams

Change: a weight goes towards size times mean delay by own delay; a server in doubt is probed and excluded when it fails that too; BenchmarkScale sets internal/xds beside go-control-plane's cache.

--- a/internal/xds/scale_test.go
+++ b/internal/xds/scale_test.go
@@ -98,7 +98,7 @@
 }
 
 // join opens the streams, each for the endpoints of one cluster.
-func (c *crowd) join(b *testing.B, addr string, delta bool) {
+func (c *crowd) join(b *testing.B, addr string, delta bool, cluster string, features ...string) {
 	b.Helper()
 	c.at = make([]time.Time, scaleStreams)
 	c.more = make(chan struct{}, 1)
@@ -118,14 +118,14 @@
 	if delta {
 		method = "/envoy.service.discovery.v3.AggregatedDiscoveryService/DeltaAggregatedResources"
 	}
-	names := []string{"clips/other"}
+	names := []string{cluster}
 	for i := range scaleStreams {
 		g, err := conns[i%scaleConns].NewStream(ctx, &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, method)
 		if err != nil {
 			b.Fatal(err)
 		}
 		ask := func(nonce string) error {
-			n := &corev3.Node{Id: "p" + strconv.Itoa(i)}
+			n := &corev3.Node{Id: "p" + strconv.Itoa(i), ClientFeatures: features}
 			if !delta {
 				return g.SendMsg(&discoveryv3.DiscoveryRequest{Node: n, TypeUrl: Endpoint.URL(), ResourceNames: names, ResponseNonce: nonce, VersionInfo: nonce})
 			}
@@ -146,8 +146,15 @@
 				}
 				now := time.Now()
 				c.mu.Lock()
-				c.at[i] = now
 				c.bytes += int64(m.size)
+				if m.size < 1000 { // a heartbeat
+					c.mu.Unlock()
+					if ask(m.nonce) != nil {
+						return
+					}
+					continue
+				}
+				c.at[i] = now
 				c.count++
 				whole := c.count%scaleStreams == 0
 				c.mu.Unlock()
@@ -245,8 +252,27 @@
 			defer s.Stop()
 			s.Publish(scaleState(1))
 			c := &crowd{}
-			c.join(b, l.Addr().String(), delta)
+			c.join(b, l.Addr().String(), delta, "clips/other")
+			c.measure(b, heap, func(v uint64) { s.Publish(scaleState(v)) })
+		})
+		b.Run("leases/"+variant, func(b *testing.B) {
+			heap := heapNow()
+			s := New(Config{Access: Access{Services: []*Service{clips()}}, StartRate: 1e6})
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			go s.Serve(l)
+			defer s.Stop()
+			s.Publish(scaleState(1))
+			c := &crowd{}
+			c.join(b, l.Addr().String(), delta, "clips/other/leased", ttlFeature)
 			c.measure(b, heap, func(v uint64) { s.Publish(scaleState(v)) })
+			used, beats := cpu(), s.Counters.Beats.Load()
+			time.Sleep(3 * time.Second)
+			b.ReportMetric(float64(cpu()-used)/1e6/3, "idle-cpu-ms/s")
+			b.ReportMetric(float64(s.Counters.Beats.Load()-beats)/3/scaleStreams, "beats/stream/s")
+			b.ReportMetric(float64(s.Counters.Overdue.Load()), "resets")
 		})
 		b.Run("go-control-plane/"+variant, func(b *testing.B) {
 			heap := heapNow()
@@ -280,7 +306,7 @@
 			go g.Serve(l)
 			defer g.Stop()
 			c := &crowd{}
-			c.join(b, l.Addr().String(), delta)
+			c.join(b, l.Addr().String(), delta, "clips/other")
 			c.measure(b, heap, put)
 		})
 	}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -25,7 +25,8 @@
 	suspectLeast = 8                       // answers and errors to judge that by
 	silentAfter  = 1500 * time.Millisecond // requests out and none ended for so long: it is silent
 	excludeMost  = 0.34                    // part of a hall that may be excluded on reports alone
-	excludeMin   = 2 * time.Second         // an exclusion lasts at least so long; doubles
+	doubtFor     = 2 * time.Second
+	excludeMin   = 2 * time.Second // an exclusion lasts at least so long; doubles
 	excludeMax   = 30 * time.Second
 	probeEvery   = 500 * time.Millisecond // of excluded servers
 	fullUse      = 0.95                   // of a server, by its own word, from which it is overloaded
@@ -35,6 +36,7 @@
 // server is what is known of an entry.
 type server struct {
 	Server
+	fresh    bool // its weight is not set yet
 	coldFrom Time // when its warm-up began; meaningless unless cold
 	cold     bool
 
@@ -49,9 +51,11 @@
 
 	mode   balance.Mode
 	told   Time    // until then it counts as overloaded by its own word
+	size   float64 // see sizes
 	weight float64 // before cold caps; 1 is the fleet's mean
 	next   float64 // of move
 
+	doubt    Time // until then it is probed
 	excluded bool
 	until    Time // it is not tried before
 	holds    int  // exclusions in a row
@@ -163,6 +167,20 @@
 	return m.out
 }
 
+// sizes gives each server the size by which it is weighed first: the list's,
+// or 1 for all where any has none.
+func (m *Module) sizes() {
+	known := true
+	for _, s := range m.order {
+		known = known && s.Size > 0
+	}
+	for _, s := range m.order {
+		if s.size = 1; known {
+			s.size = s.Size
+		}
+	}
+}
+
 // Servers and Proxies are how many are known.
 func (m *Module) Servers() int { return len(m.servers) }
 func (m *Module) Proxies() int { return len(m.proxies) }
@@ -194,7 +212,7 @@
 		seen[x.ID] = true
 		switch {
 		case s == nil:
-			s = &server{Server: x, weight: 1}
+			s = &server{Server: x, weight: 1, fresh: true}
 			m.servers[x.ID] = s
 			m.dirty = true
 			// What is new in a run that knew the list has just been started,
@@ -232,6 +250,16 @@
 		m.order = append(m.order, s)
 	}
 	sort.Slice(m.order, func(i, j int) bool { return m.order[i].ID < m.order[j].ID })
+	m.sizes()
+	mean := 0.0
+	for _, s := range m.order {
+		mean += s.size / float64(len(m.order))
+	}
+	for _, s := range m.order {
+		if s.fresh {
+			s.fresh, s.weight = false, math.Min(mostPart, math.Max(leastPart, s.size/mean))
+		}
+	}
 	if e.Kind == Full && !m.confirmed {
 		m.confirmed, m.urgent = true, true
 	}
@@ -246,7 +274,7 @@
 }
 
 func (m *Module) startCold(s *server, at Time) {
-	s.cold, s.coldFrom, s.weight, s.silent = true, at, 1, 0
+	s.cold, s.coldFrom, s.fresh, s.silent = true, at, true, 0
 	s.n, s.load, s.rate, s.answers, s.ended = 0, 0, 0, 0, 0 // its peak is of a warm server, and stays
 	for _, p := range m.present {
 		delete(p.inFlight, s)
@@ -338,22 +366,26 @@
 	p.in1, p.in2 = float64(e.Priority)/sec, float64(e.Other)/sec
 }
 
-// probed takes a probe. Only excluded servers are probed: good answers bring
-// them back, as cold ones, since they may have been restarted.
+// probed takes a probe. A server in doubt is excluded when it fails one; good
+// ones bring an excluded server back, as a cold one, since it may have been
+// restarted.
 func (m *Module) probed(e Probed) {
 	s := m.servers[e.Server]
-	if s == nil || !s.excluded {
-		return
-	}
-	if !e.OK {
+	switch {
+	case s == nil:
+	case !s.excluded && m.now < s.doubt && !e.OK:
+		m.exclude(s, "answers neither requests nor a probe")
+	case !s.excluded:
+	case !e.OK:
 		s.probesOK = 0
 		s.until = max(s.until, m.now+probeEvery)
-		return
-	}
-	if s.probesOK++; s.probesOK >= probesOK && m.now >= s.until {
+	default:
+		if s.probesOK++; s.probesOK < probesOK || m.now < s.until {
+			return
+		}
 		s.excluded, s.probesOK = false, 0
 		m.startCold(s, m.now)
-		m.dirty = true
+		s.fresh, s.weight, m.dirty = false, math.Min(1, s.weight), true
 		m.log("server %s answers again", s.ID)
 	}
 }
@@ -374,7 +406,7 @@
 	m.move()
 	m.divide()
 	for _, s := range m.order {
-		if s.excluded && m.now-s.probedAt >= probeEvery {
+		if (s.excluded || m.now < s.doubt) && m.now-s.probedAt >= probeEvery {
 			s.probedAt = m.now
 			m.out = append(m.out, Probe{s.ID})
 		}
@@ -411,7 +443,7 @@
 	peak, size := 0.0, 0.0
 	for _, s := range m.order {
 		if s.answers >= learnCount && !s.cold {
-			peak, size = peak+s.peak, size+math.Max(s.Size, 1e-9)
+			peak, size = peak+s.peak, size+s.size
 		}
 	}
 	if size > 0 {
@@ -449,8 +481,9 @@
 	return s.load / s.rate
 }
 
-// suspect excludes servers that fail or are silent. On reports alone no more
-// than a part of a hall goes: when all fail at once, it is not the servers.
+// suspect looks for servers that fail or are silent. On reports alone no more
+// than a part of a hall is excluded: when all fail at once, it may not be the
+// servers. Whoever is in doubt is probed, and goes when that fails too.
 func (m *Module) suspect() {
 	total, out := map[string]int{}, map[string]int{}
 	for _, s := range m.order {
@@ -466,24 +499,26 @@
 		if done >= suspectLeast || silent {
 			s.judged.ok, s.judged.errors = 0, 0
 		}
-		if s.excluded || !(bad || silent) {
-			if !s.excluded && done >= suspectLeast {
-				s.holds = max(0, s.holds-1)
-			}
+		if s.excluded {
 			continue
 		}
-		if float64(out[s.Zone]+1) > math.Max(1, excludeMost*float64(total[s.Zone])) {
-			continue
+		switch {
+		case bad || s.silent > 0:
+			s.doubt = m.now + doubtFor
+		case done >= suspectLeast:
+			s.holds, s.doubt = max(0, s.holds-1), 0
 		}
-		out[s.Zone]++
-		s.excluded, s.probesOK, s.probedAt, s.silent = true, 0, 0, 0
-		s.until = m.now + min(excludeMax, excludeMin<<min(s.holds, 4))
-		s.holds++
-		m.urgent = true
-		why := "fails"
-		if silent {
-			why = "is silent"
+		if (bad || silent) && float64(out[s.Zone]+1) <= math.Max(1, excludeMost*float64(total[s.Zone])) {
+			out[s.Zone]++
+			m.exclude(s, map[bool]string{true: "fails", false: "is silent"}[bad])
 		}
-		m.log("server %s %s: excluded", s.ID, why)
 	}
 }
+
+func (m *Module) exclude(s *server, why string) {
+	s.excluded, s.doubt, s.probesOK, s.silent = true, 0, 0, 0
+	s.until = m.now + min(excludeMax, excludeMin<<min(s.holds, 4))
+	s.holds++
+	m.urgent = true
+	m.log("server %s %s: excluded", s.ID, why)
+}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -28,6 +28,7 @@
 	probes  map[ServerID]bool
 	deaf    map[ServerID]bool
 	failing map[ServerID]bool
+	well    bool // servers pass probes whatever else they do
 	rand    *rand.Rand
 
 	published []*State
@@ -194,7 +195,7 @@
 		}
 		for id := range w.probes {
 			delete(w.probes, id)
-			w.feed(Probed{Server: id, OK: !w.deaf[id] && !w.failing[id]})
+			w.feed(Probed{Server: id, OK: w.well || !w.deaf[id] && !w.failing[id]})
 		}
 	}
 }
@@ -430,9 +431,11 @@
 	}
 }
 
-// When all fail at once it is not the servers: most stay in use.
+// When all fail at once and pass their probes it is not the servers: most stay
+// in use.
 func TestNoMoreThanAPartIsExcluded(t *testing.T) {
 	w := newWorld(t, 6, 4, "a")
+	w.well = true
 	w.offered = 300
 	w.run(10 * time.Second)
 	for _, s := range w.list {
@@ -450,6 +453,22 @@
 	}
 }
 
+// A hall that is lost is left alone once its servers fail their probes too.
+func TestALostHallIsLeftToTheOthers(t *testing.T) {
+	w := newWorld(t, 9, 6, "a", "b", "c")
+	w.offered = 300
+	w.run(15 * time.Second)
+	for _, s := range w.list {
+		w.deaf[s.ID] = s.Zone == "a"
+	}
+	w.run(4 * time.Second)
+	for id, part := range parts(w.state.View("a")) {
+		if w.deaf[id] && part > 0 {
+			t.Errorf("%s is lost and gets %.2f", id, part)
+		}
+	}
+}
+
 func TestHallsStandInForOneAnother(t *testing.T) {
 	w := newWorld(t, 6, 6, "a", "b", "c")
 	w.offered = 240
--- a/steer/view.go
+++ b/steer/view.go
@@ -165,7 +165,7 @@
 	if s.peak > 0 && s.answers >= learnCount {
 		return s.peak
 	}
-	return math.Max(m.unit*math.Max(s.Size, 1e-9), s.peak)
+	return math.Max(m.unit*s.size, s.peak)
 }
 
 // locality gives the endpoints of a hall, and the part of its requests that
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	gain      = 0.5  // of a server's share of the mean delay, that its weight follows a step
+	gain      = 1.0  // power of the mean delay by a server's own, by which its weight differs from its size's
 	deadBand  = 0.15 // a delay so near to the mean moves nothing
 	leastPart = 0.05 // of the mean weight; a blocked server has no more: proxies know no server without weight
 	mostPart  = 4.0
@@ -15,8 +15,8 @@
 )
 
 // move changes the weights, at most once every ChangeEvery, each by at most
-// ChangeBy. Normal servers follow their delay; overloaded ones go down while
-// any is normal. Only a server that gets blocked falls further, at once.
+// ChangeBy. Normal servers are weighed by their size and their delay; the others
+// go down while any is normal. Only a server that gets blocked falls further, at once.
 func (m *Module) move() {
 	if m.moved != 0 && m.now-m.moved < m.set.ChangeEvery {
 		return
@@ -26,22 +26,30 @@
 	for _, s := range m.order {
 		normal = normal || m.usable(s) && s.mode == balance.Normal
 	}
-	sum, count := 0.0, 0.0
+	mean, count := 0.0, 0.0
+	for _, s := range m.order {
+		if m.usable(s) {
+			mean, count = mean+s.size, count+1
+		}
+	}
+	mean /= math.Max(1, count)
+	sum := 0.0
+	count = 0
 	for _, s := range m.order {
 		if !m.usable(s) {
 			continue
 		}
-		f := 1.0
+		target := s.size / mean
 		if d := m.delay(s); d > 0 && m.mean > 0 {
 			if r := m.mean / d; r < 1-deadBand || r > 1+deadBand {
-				f = math.Pow(r, gain)
+				target *= math.Pow(r, gain)
 			}
 		}
 		if s.mode != balance.Normal && normal || s.mode == balance.Blocking {
-			f = 1 / m.set.ChangeBy
+			target = 0
 		}
-		f = math.Min(m.set.ChangeBy, math.Max(1/m.set.ChangeBy, f))
-		s.next = math.Min(mostPart, math.Max(leastPart, s.weight*f))
+		target = math.Min(mostPart, math.Max(leastPart, target))
+		s.next = math.Min(s.weight*m.set.ChangeBy, math.Max(s.weight/m.set.ChangeBy, target))
 		sum, count = sum+s.next, count+1
 	}
 	for _, s := range m.order {
