Keep steer's weights from flapping; retries decided in steer; fuzz what proxies send

Need: blocked servers that lost all weight at once pushed over the next ones, shedding swung by half, and the limits of a proxy could refuse work for healthy servers while one silent server held requests.

--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -51,8 +51,9 @@
 	unsaved bool
 	probes  chan struct{} // one for each probe that is out
 
-	// Published counts states, Urgent those that went before all else.
-	Published, Urgent atomic.Int64
+	// Published counts states, Urgent those that went before all else; LeftOut
+	// counts servers, proxies and load entries beyond a bound or unknown.
+	Published, Urgent, LeftOut atomic.Int64
 }
 
 // NewEngine checks the settings and reads the list that was kept, if any.
@@ -109,6 +110,7 @@
 			return
 		case <-tick.C:
 			e.handle(ctx, steer.Tick{})
+			e.LeftOut.Store(int64(e.module.Left.Servers + e.module.Left.Proxies + e.module.Left.Loads))
 			e.save()
 		case x := <-e.events:
 			switch x := x.(type) {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -49,8 +49,7 @@
 		ChangeEvery: c.ChangeEvery.Duration, ChangeBy: c.ChangeBy, MaxServers: c.MaxServers, MaxProxies: c.MaxStreams}
 	for _, x := range c.Services {
 		for _, y := range x.Classes {
-			settings.Classes = append(settings.Classes, balance.Class{Name: y.Name, Aim: y.Aim.Duration,
-				Deadline: y.Deadline.Duration, Effect: effects[y.Effect], DedupWindow: y.Window.Duration})
+			settings.Classes = append(settings.Classes, class(y))
 		}
 	}
 	engine, err := NewEngine(Config{Steer: settings, Discovery: c.Discovery, ListFile: c.ListFile, Probe: prober(c.Probe),
@@ -62,6 +61,11 @@
 	return s, nil
 }
 
+func class(c operator.Class) balance.Class {
+	return balance.Class{Name: c.Name, Aim: c.Aim.Duration, Deadline: c.Deadline.Duration, Effect: effects[c.Effect],
+		DedupWindow: c.Window.Duration}
+}
+
 func access(c *operator.Control) xds.Access {
 	a := xds.Access{Operators: c.Operators, Allowed: map[string][]string{}}
 	for _, x := range c.Services {
@@ -70,8 +74,7 @@
 			s.ProbePath = c.Probe
 		}
 		for _, y := range x.Classes {
-			s.Classes = append(s.Classes, xds.Class{Name: y.Name, Priority: y.Priority, Effect: effects[y.Effect],
-				Deadline: y.Deadline.Duration, Window: y.Window.Duration})
+			s.Classes = append(s.Classes, xds.Class{Class: class(y), Priority: y.Priority})
 		}
 		a.Services = append(a.Services, s)
 		a.Allowed[x.Name] = x.Proxies
@@ -142,7 +145,7 @@
 		"malformed", c.Malformed.Load(), "overdue", c.Overdue.Load(), "waiting", s.Server.Waiting(),
 		"responses", c.Responses.Load(), "heartbeats", c.Beats.Load(), "bytes", c.Bytes.Load(), "nacks", c.Nacks.Load(),
 		"reports", c.Reports.Load(), "bad_reports", c.BadReports.Load(),
-		"states", s.Engine.Published.Load(), "urgent", s.Engine.Urgent.Load())
+		"states", s.Engine.Published.Load(), "urgent", s.Engine.Urgent.Load(), "left_out", s.Engine.LeftOut.Load())
 }
 
 // Reload takes the certificates and the services of a file anew. What is wrong
--- a/internal/xds/encode.go
+++ b/internal/xds/encode.go
@@ -31,13 +31,11 @@
 // ClassHeader names the request's class, in HTTP and in gRPC metadata.
 const ClassHeader = "request-class"
 
-// Class is a class of requests as a service's routes tell it.
+// Class is a class of requests as a service's routes tell it. Its retries are
+// those of steer.RetryOf.
 type Class struct {
-	Name     string
+	balance.Class
 	Priority bool // priority requests are refused last
-	Effect   balance.Effect
-	Deadline time.Duration // a route's time; 0: none
-	Window   time.Duration // Keyed: how long a pod knows a key
 }
 
 // Service is what proxies reach by one name.
@@ -72,7 +70,6 @@
 }
 
 const (
-	retries      = 2             // further attempts of a request
 	notStarted   = "not-started" // with "1": the server has not begun it (the platform's protocol)
 	leasedSuffix = "/leased"
 	heldSuffix   = "/held"
@@ -140,7 +137,7 @@
 			drop = e.view.DropPriority
 		}
 		refs = append(refs, e.cluster(s, s.cluster(priority), drop, nil)...)
-		if !slices.ContainsFunc(s.Classes, func(c Class) bool { return c.Effect == balance.Keyed && c.Priority == priority }) {
+		if !slices.ContainsFunc(s.Classes, func(c Class) bool { return steer.RetryOf(c.Class).WithinPod && c.Priority == priority }) {
 			continue
 		}
 		for _, pod := range e.pods() {
@@ -377,10 +374,11 @@
 				HeaderMatchSpecifier: &routev3.HeaderMatcher_StringMatch{StringMatch: &matcherv3.StringMatcher{
 					MatchPattern: &matcherv3.StringMatcher_Exact{Exact: c.Name}}}}}
 		}
-		action := &routev3.RouteAction{RetryPolicy: e.retries(c)}
-		if limit := routeTime(c); limit > 0 {
-			action.Timeout = durationpb.New(limit)
-			action.MaxStreamDuration = &routev3.RouteAction_MaxStreamDuration{MaxStreamDuration: durationpb.New(limit)}
+		retry := steer.RetryOf(c.Class)
+		action := &routev3.RouteAction{RetryPolicy: e.retries(retry)}
+		if retry.All > 0 {
+			action.Timeout = durationpb.New(retry.All)
+			action.MaxStreamDuration = &routev3.RouteAction_MaxStreamDuration{MaxStreamDuration: durationpb.New(retry.All)}
 		}
 		e.target(s, c, action)
 		host.Routes = append(host.Routes, &routev3.Route{Name: c.Name, Match: match,
@@ -395,7 +393,7 @@
 // pods' weights, and stays within it when it is tried again.
 func (e *encoder) target(s *Service, c Class, action *routev3.RouteAction) {
 	pods := e.pods()
-	if c.Effect != balance.Keyed || len(pods) == 0 {
+	if !steer.RetryOf(c.Class).WithinPod || len(pods) == 0 {
 		action.ClusterSpecifier = &routev3.RouteAction_Cluster{Cluster: s.cluster(c.Priority)}
 		return
 	}
@@ -418,30 +416,19 @@
 	action.ClusterSpecifier = &routev3.RouteAction_WeightedClusters{WeightedClusters: w}
 }
 
-// routeTime is how long a request of a class may take with all its attempts.
-// For a keyed one it ends before its pod forgets the key.
-func routeTime(c Class) time.Duration {
-	if c.Effect == balance.Keyed && c.Window > 0 && (c.Deadline == 0 || c.Window < c.Deadline) {
-		return c.Window
-	}
-	return c.Deadline
-}
-
-// retries says when another attempt may be made: for unsafe requests only when
-// the server cannot have seen the first one.
-func (e *encoder) retries(c Class) *routev3.RetryPolicy {
-	p := &routev3.RetryPolicy{RetryOn: "connect-failure,refused-stream,retriable-headers", NumRetries: wrapperspb.UInt32(retries),
+// retries puts a class's rule into the proxies' words.
+func (e *encoder) retries(r steer.Retry) *routev3.RetryPolicy {
+	// What no server can have begun: no connection, a refused stream (RFC 9113,
+	// section 8.7), or the platform's word.
+	p := &routev3.RetryPolicy{RetryOn: "connect-failure,refused-stream,retriable-headers", NumRetries: wrapperspb.UInt32(steer.MaxAttempts - 1),
 		RetriableHeaders: []*routev3.HeaderMatcher{{Name: notStarted, HeaderMatchSpecifier: &routev3.HeaderMatcher_StringMatch{
 			StringMatch: &matcherv3.StringMatcher{MatchPattern: &matcherv3.StringMatcher_Exact{Exact: "1"}}}}}}
-	if c.Effect == balance.Unsafe {
+	if !r.Ran {
 		return p
 	}
-	if c.Effect == balance.Keyed && routeTime(c) == 0 {
-		return p // without a window nothing says how long the key is known
-	}
 	p.RetryOn += ",reset,gateway-error,unavailable"
-	if limit := routeTime(c); limit > 0 { // guards against a silent server that takes all the time there is
-		p.PerTryTimeout = durationpb.New(limit / (retries + 1))
+	if r.Each > 0 {
+		p.PerTryTimeout = durationpb.New(r.Each)
 	}
 	p.RetryHostPredicate = []*routev3.RetryPolicy_RetryHostPredicate{{Name: "envoy.retry_host_predicates.previous_hosts",
 		ConfigType: &routev3.RetryPolicy_RetryHostPredicate_TypedConfig{
--- /dev/null
+++ b/internal/xds/fuzz_test.go
@@ -0,0 +1,144 @@
+package xds
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	lrsv3 "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"barrowscale/balance"
+	"barrowscale/steer"
+)
+
+// messages splits bytes into messages, each led by its length in two bytes.
+func messages(data []byte) [][]byte {
+	var out [][]byte
+	for len(data) >= 2 {
+		n := min(int(data[0])<<8|int(data[1]), len(data)-2)
+		out = append(out, data[2:2+n])
+		data = data[2+n:]
+	}
+	return out
+}
+
+func pack(f *testing.F, all ...proto.Message) []byte {
+	var out []byte
+	for _, m := range all {
+		raw, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		out = append(append(out, byte(len(raw)>>8), byte(len(raw))), raw...)
+	}
+	return out
+}
+
+// What a proxy may send on a discovery stream: whatever it is, the stream ends
+// with its last message, and what is sent stays within the protocol.
+func FuzzDiscoveryStream(f *testing.F) {
+	n := &corev3.Node{Id: "p", Locality: &corev3.Locality{Zone: "a"}, ClientFeatures: []string{ttlFeature}}
+	f.Add(pack(f, &discoveryv3.DiscoveryRequest{Node: n, TypeUrl: Cluster.URL()},
+		&discoveryv3.DiscoveryRequest{TypeUrl: Endpoint.URL(), ResourceNames: []string{"clips/other/leased"}, ResponseNonce: "1"},
+		&discoveryv3.DiscoveryRequest{TypeUrl: Cluster.URL(), ResponseNonce: "1", ErrorDetail: &status.Status{Code: 3, Message: "no"}}), false)
+	f.Add(pack(f, &discoveryv3.DeltaDiscoveryRequest{Node: n, TypeUrl: Endpoint.URL(), ResourceNamesSubscribe: []string{"*", "clips/other"},
+		InitialResourceVersions: map[string]string{"clips/other": "1"}},
+		&discoveryv3.DeltaDiscoveryRequest{TypeUrl: Endpoint.URL(), ResourceNamesUnsubscribe: []string{"*"}, ResponseNonce: "9"}), true)
+	f.Add([]byte{0, 1, 255, 0, 0}, false)
+	s := New(Config{Access: Access{Services: []*Service{clips()}}, AckWithin: 50 * time.Millisecond, StartRate: 1e6})
+	s.Publish(state(1, steer.Healthy, steer.Draining))
+	f.Fuzz(func(t *testing.T, data []byte, delta bool) {
+		queue := messages(data)
+		v := variant{ctx: context.Background(),
+			recv: func() (Request, *corev3.Node, error) {
+				if len(queue) == 0 {
+					return Request{}, nil, io.EOF
+				}
+				raw := queue[0]
+				queue = queue[1:]
+				if delta {
+					m := &discoveryv3.DeltaDiscoveryRequest{}
+					if err := proto.Unmarshal(raw, m); err != nil {
+						return Request{}, nil, err
+					}
+					r, err := deltaRequest(m)
+					return r, m.GetNode(), err
+				}
+				m := &discoveryv3.DiscoveryRequest{}
+				if err := proto.Unmarshal(raw, m); err != nil {
+					return Request{}, nil, err
+				}
+				r, err := wholeRequest(m)
+				return r, m.GetNode(), err
+			},
+			send: func(r *Response) error {
+				if r.Nonce == "" || r.Type >= types {
+					t.Errorf("sent %+v", r)
+				}
+				return nil
+			}}
+		s.serve(delta, v)
+		if n := s.Counters.Streams.Load(); n != 0 {
+			t.Errorf("%d streams are left", n)
+		}
+		if len(s.all()) != 0 || len(s.proxies) != 0 {
+			t.Error("the stream is still known")
+		}
+	})
+}
+
+// What a proxy may report of its load, up to the decision module.
+func FuzzLoadReport(f *testing.F) {
+	f.Add(pack(f, &lrsv3.LoadStatsRequest{ClusterStats: []*endpointv3.ClusterStats{{ClusterName: "clips/priority",
+		UpstreamLocalityStats: []*endpointv3.UpstreamLocalityStats{{Locality: &corev3.Locality{SubZone: "s0"}, TotalIssuedRequests: 1 << 63,
+			TotalSuccessfulRequests: 3, TotalRequestsInProgress: 1 << 62}}}}}))
+	f.Add([]byte{0, 2, 8, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := steer.New(steer.Settings{Classes: []balance.Class{{Aim: time.Second}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		m.Handle(now, steer.Listed{Kind: steer.Full, Servers: []steer.Server{{ID: "s0", Addr: "h:1", Zone: "a"}, {ID: "s1", Addr: "h:2", Zone: "b"}}})
+		m.Handle(now, steer.Joined{Proxy: "p", Zone: "a"})
+		for _, raw := range messages(data) {
+			r := &lrsv3.LoadStatsRequest{}
+			if proto.Unmarshal(raw, r) != nil {
+				continue
+			}
+			if l, ok := Loads("p", r.GetClusterStats(), time.Second); ok {
+				m.Handle(now, l)
+			}
+			for range 15 {
+				now += steer.TickEvery
+				for _, a := range m.Handle(now, steer.Tick{}) {
+					p, ok := a.(steer.Publish)
+					if !ok {
+						continue
+					}
+					for _, v := range p.State.Views {
+						if v.DropOther > 1e6 || v.DropPriority > 1e6 || v.MaxRequests == 0 {
+							t.Fatalf("%+v", v)
+						}
+						for _, l := range v.Localities {
+							if l.Weight == 0 || l.Weight > steer.MaxWeight {
+								t.Fatalf("%+v", l)
+							}
+							for _, e := range l.Endpoints {
+								if e.Weight == 0 || e.Weight > steer.MaxWeight {
+									t.Fatalf("%+v", e)
+								}
+							}
+						}
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/xds/stream.go
+++ b/internal/xds/stream.go
@@ -40,12 +40,8 @@
 			if err != nil {
 				return Request{}, nil, err
 			}
-			t, ok := typeOf(m.GetTypeUrl())
-			if !ok {
-				return Request{}, nil, badRequest("resource type %q is not served", clip(m.GetTypeUrl()))
-			}
-			return Request{Type: t, Nonce: m.GetResponseNonce(), Error: complaint(m.GetErrorDetail()), Names: m.GetResourceNames()},
-				m.GetNode(), nil
+			r, err := wholeRequest(m)
+			return r, m.GetNode(), err
 		},
 		send: func(r *Response) error {
 			m := &discoveryv3.DiscoveryResponse{VersionInfo: r.Version, Nonce: r.Nonce, TypeUrl: r.Type.URL()}
@@ -72,13 +68,8 @@
 			if err != nil {
 				return Request{}, nil, err
 			}
-			t, ok := typeOf(m.GetTypeUrl())
-			if !ok {
-				return Request{}, nil, badRequest("resource type %q is not served", clip(m.GetTypeUrl()))
-			}
-			return Request{Type: t, Nonce: m.GetResponseNonce(), Error: complaint(m.GetErrorDetail()),
-				Add: m.GetResourceNamesSubscribe(), Remove: m.GetResourceNamesUnsubscribe(),
-				Initial: m.GetInitialResourceVersions()}, m.GetNode(), nil
+			r, err := deltaRequest(m)
+			return r, m.GetNode(), err
 		},
 		send: func(r *Response) error {
 			m := &discoveryv3.DeltaDiscoveryResponse{SystemVersionInfo: r.Version, Nonce: r.Nonce, TypeUrl: r.Type.URL(),
@@ -90,6 +81,23 @@
 		}})
 }
 
+func wholeRequest(m *discoveryv3.DiscoveryRequest) (Request, error) {
+	t, ok := typeOf(m.GetTypeUrl())
+	if !ok {
+		return Request{}, badRequest("resource type %q is not served", clip(m.GetTypeUrl()))
+	}
+	return Request{Type: t, Nonce: m.GetResponseNonce(), Error: complaint(m.GetErrorDetail()), Names: m.GetResourceNames()}, nil
+}
+
+func deltaRequest(m *discoveryv3.DeltaDiscoveryRequest) (Request, error) {
+	t, ok := typeOf(m.GetTypeUrl())
+	if !ok {
+		return Request{}, badRequest("resource type %q is not served", clip(m.GetTypeUrl()))
+	}
+	return Request{Type: t, Nonce: m.GetResponseNonce(), Error: complaint(m.GetErrorDetail()),
+		Add: m.GetResourceNamesSubscribe(), Remove: m.GetResourceNamesUnsubscribe(), Initial: m.GetInitialResourceVersions()}, nil
+}
+
 // wrap puts a resource in its frame; a heartbeat has no body.
 func (r *Resource) wrap(beat bool) *discoveryv3.Resource {
 	w := &discoveryv3.Resource{Name: r.Name, Version: r.Version}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -14,6 +14,7 @@
 const (
 	validity     = 3 * time.Second         // what a proxy reported counts this long
 	memoryTau    = 60.0                    // s; in which a learnt rate or base delay is forgotten
+	baseTau      = 10.0                    // s; in which the base delay falls at most
 	rateTau      = 2.0                     // s; of a server's smoothed rate of answers
 	aimPart      = 0.45                    // of the shortest aim that a server's delay may take
 	queueFactor  = 4.0                     // delay a normal server may have, in its work without a queue
@@ -53,7 +54,6 @@
 	told   Time    // until then it counts as overloaded by its own word
 	size   float64 // see sizes
 	weight float64 // before cold caps; 1 is the fleet's mean
-	next   float64 // of move
 
 	doubt    Time // until then it is probed
 	excluded bool
@@ -405,6 +405,9 @@
 	m.suspect()
 	m.move()
 	m.divide()
+	if m.last != nil && m.limit() != m.last.View("").MaxRequests {
+		m.dirty = true
+	}
 	for _, s := range m.order {
 		if (s.excluded || m.now < s.doubt) && m.now-s.probedAt >= probeEvery {
 			s.probedAt = m.now
@@ -438,7 +441,9 @@
 		if m.base == 0 {
 			m.base = m.mean
 		}
-		m.base = math.Min(m.base*(1+step/memoryTau), m.mean)
+		// It follows downwards too by steps: a backlog that is worked off looks
+		// like quick answers for a moment.
+		m.base = math.Max(math.Min(m.base*(1+step/memoryTau), m.mean), m.base*(1-step/baseTau))
 	}
 	peak, size := 0.0, 0.0
 	for _, s := range m.order {
@@ -455,14 +460,10 @@
 			continue
 		}
 		h := m.high(s)
-		before := s.mode
 		s.mode = balance.NextMode(s.mode, s.n, lowPart*h, h, blockPart*h+1)
 		if m.now < s.told {
 			s.mode = max(s.mode, balance.Overloaded)
 		}
-		if s.mode == balance.Blocking && before != balance.Blocking {
-			s.weight, m.dirty = leastPart, true // skipped; it comes back by steps
-		}
 	}
 }
 
--- a/steer/view.go
+++ b/steer/view.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	surge    = 1.6  // times the reported requests that may come before the next report
-	fullPart = 0.85 // of a hall's capacity beyond which others stand in for it
-	backPart = 0.7  // and below which it takes all its requests again
-	spare    = 2.0  // times a proxy's even part of all that may be out
-	firstOut = 1024 // before anything is known
-	leastOut = 8    // requests that a proxy may have out at least
+	surge     = 1.6  // times the reported requests that may come before the next report
+	fullPart  = 0.85 // of a hall's capacity beyond which others stand in for it
+	backPart  = 0.7  // and below which it takes all its requests again
+	spare     = 2.0  // times a proxy's even part of all that may be out
+	silentFor = 3.0  // s in which a silent server holds what it is sent, until it is excluded
+	firstOut  = 1024 // before anything is known
+	leastOut  = 8    // requests that a proxy may have out at least
 )
 
 // publish composes a state when one is due and differs from the last.
@@ -301,17 +302,21 @@
 }
 
 // limit is what one proxy may have out: its even part of what all servers may
-// hold, with room for chance, by powers of two so that it seldom changes.
+// hold, with room for chance, and not less than what it sends while a silent
+// server is still in use; by powers of two so that it seldom changes.
 func (m *Module) limit() uint32 {
 	if m.base == 0 {
 		return firstOut
 	}
-	hold := 0.0
+	hold, rate := 0.0, 0.0
 	for _, s := range m.order {
 		if m.usable(s) {
 			hold += blockPart*m.high(s) + 1
 		}
 	}
-	each := math.Max(leastOut, spare*hold/math.Max(1, float64(len(m.proxies))))
+	for _, p := range m.present {
+		rate += p.rate
+	}
+	each := math.Max(leastOut, math.Max(spare*hold, silentFor*rate)/math.Max(1, float64(len(m.present))))
 	return uint32(math.Exp2(math.Ceil(math.Log2(math.Min(each, 1<<20)))))
 }
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -1,22 +1,28 @@
 package steer
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"barrowscale/balance"
 )
 
 const (
-	gain      = 1.0  // power of the mean delay by a server's own, by which its weight differs from its size's
+	overPart  = 0.5  // of its weight that an overloaded server goes towards while any is normal
+	riseMost  = 1.25 // a delay under the typical one raises a weight by no more: it may only be idle
 	deadBand  = 0.15 // a delay so near to the mean moves nothing
 	leastPart = 0.05 // of the mean weight; a blocked server has no more: proxies know no server without weight
 	mostPart  = 4.0
+	flowPart  = 0.8  // of what is answered, that is let in while no server is normal
+	flowGrow  = 1.05 // a second, when one is again
 	flowLeast = 0.02 // part of the arrivals that is let in at least: to learn how it goes
 )
 
 // move changes the weights, at most once every ChangeEvery, each by at most
-// ChangeBy. Normal servers are weighed by their size and their delay; the others
-// go down while any is normal. Only a server that gets blocked falls further, at once.
+// ChangeBy. Normal servers are weighed by their size and their delay;
+// overloaded ones go down while any is normal, blocked ones two steps at once.
+// None goes at a stroke: its requests would push over the others.
 func (m *Module) move() {
 	if m.moved != 0 && m.now-m.moved < m.set.ChangeEvery {
 		return
@@ -33,36 +39,50 @@
 		}
 	}
 	mean /= math.Max(1, count)
-	sum := 0.0
-	count = 0
+	typical := m.typical()
 	for _, s := range m.order {
 		if !m.usable(s) {
 			continue
 		}
 		target := s.size / mean
-		if d := m.delay(s); d > 0 && m.mean > 0 {
-			if r := m.mean / d; r < 1-deadBand || r > 1+deadBand {
-				target *= math.Pow(r, gain)
+		if d := m.delay(s); d > 0 && typical > 0 {
+			if r := typical / d; r < 1-deadBand || r > 1+deadBand {
+				target *= math.Min(r, riseMost)
 			}
 		}
-		if s.mode != balance.Normal && normal || s.mode == balance.Blocking {
-			target = 0
+		down := s.weight / m.set.ChangeBy
+		switch {
+		case s.mode == balance.Blocking:
+			target, down = 0, down/m.set.ChangeBy
+		case s.mode == balance.Overloaded && normal:
+			target *= overPart
 		}
 		target = math.Min(mostPart, math.Max(leastPart, target))
-		s.next = math.Min(s.weight*m.set.ChangeBy, math.Max(s.weight/m.set.ChangeBy, target))
-		sum, count = sum+s.next, count+1
+		next := math.Min(s.weight*m.set.ChangeBy, math.Max(down, target))
+		if next != s.weight {
+			s.weight, m.dirty = next, true
+		}
 	}
+}
+
+// typical is the delay that half of the answers come within: one slow server
+// does not change what the others are held against.
+func (m *Module) typical() float64 {
+	type one struct{ delay, rate float64 }
+	var all []one
+	sum := 0.0
 	for _, s := range m.order {
-		if !m.usable(s) {
-			continue
+		if d := m.delay(s); d > 0 && m.usable(s) {
+			all, sum = append(all, one{d, s.rate}), sum+s.rate
 		}
-		// The mean stays 1, within the bound on each step.
-		next := s.next * count / sum
-		next = math.Min(s.weight*m.set.ChangeBy, math.Max(s.weight/m.set.ChangeBy, next))
-		if next != s.weight {
-			s.weight, m.dirty = next, true
+	}
+	slices.SortFunc(all, func(a, b one) int { return cmp.Compare(a.delay, b.delay) })
+	for _, x := range all {
+		if sum -= 2 * x.rate; sum <= 0 {
+			return x.delay
 		}
 	}
+	return 0
 }
 
 // usable servers get requests.
@@ -78,12 +98,13 @@
 }
 
 // divide renews q1 and q2 once a second: while none is normal the flow falls
-// towards what is answered, and grows again by steps; other requests go first.
+// below what is answered, and grows again by steps; other requests go first.
 func (m *Module) divide() {
 	d := &m.shed
-	any, normal := false, false
+	any, normal, answered := false, false, 0.0
 	for _, s := range m.order {
 		if m.usable(s) {
+			answered += s.rate
 			any, normal = true, normal || s.mode == balance.Normal
 		}
 	}
@@ -103,12 +124,13 @@
 		if d.at == 0 || d.flow == 0 {
 			d.flow = 1.5 * in
 		}
-		part := d.crowded / d.ticks
 		from := math.Min(1.5*in, d.flow)
-		if part > 0 {
-			from = math.Min(in, from)
+		if 2*d.crowded >= d.ticks { // what is answered now is what can be; a part of it, so that queues go
+			from = math.Min(math.Min(in, from), answered*flowPart)
+		} else {
+			from *= flowGrow
 		}
-		d.flow = math.Max(flowLeast*in, from*(1.1-0.3*part))
+		d.flow = math.Max(flowLeast*in, from)
 		if d.flow < in {
 			q1, q2 = balance.ShedSplit(1-d.flow/in, in1, in2)
 		}
