Steer TTL-aware proxies by endpoint weights and least requests; halls keep by steps

Change: proxies that know TTLs get halls as localities with weighted endpoints and LEAST_REQUEST, and report by endpoint; a short hall keeps a part that moves by steps; what is in flight and what is answered are kept for the same time, so delays are right from the first report; errors of a full server do not exclude it.

--- a/internal/lab/steered/steered.go
+++ b/internal/lab/steered/steered.go
@@ -376,20 +376,30 @@
 		}
 		return a
 	case Steer:
-		total := 0.0
-		for _, s := range fit {
-			total += weights[s]
-		}
-		at := p.rnd.Float64() * total
-		for _, s := range fit {
-			if at -= weights[s]; at < 0 {
-				return s
-			}
+		a, b := p.weighed(fit, weights), p.weighed(fit, weights)
+		if float64(b.out+1)/weights[b] < float64(a.out+1)/weights[a] {
+			return b
 		}
+		return a
 	}
 	return fit[p.rnd.IntN(len(fit))]
 }
 
+// weighed picks by weight.
+func (p *proxy) weighed(fit []*server, weights map[*server]float64) *server {
+	total := 0.0
+	for _, s := range fit {
+		total += weights[s]
+	}
+	at := p.rnd.Float64() * total
+	for _, s := range fit {
+		if at -= weights[s]; at < 0 {
+			return s
+		}
+	}
+	return fit[len(fit)-1]
+}
+
 // steered gives the weights of the first priority that has any.
 func (p *proxy) steered(now balance.Time) map[*server]float64 {
 	out := map[*server]float64{}
--- a/internal/xds/encode.go
+++ b/internal/xds/encode.go
@@ -243,6 +243,9 @@
 		LrsServer:                itself,
 		LrsReportEndpointMetrics: []string{"cpu_utilization", "application_utilization"},
 	}
+	if e.kind.Leases {
+		c.LbPolicy = clusterv3.Cluster_LEAST_REQUEST
+	}
 	if held && s.ProbePath != "" {
 		c.HealthChecks = []*corev3.HealthCheck{{
 			Timeout:            durationpb.New(100 * time.Millisecond),
@@ -257,9 +260,11 @@
 	e.add(Cluster, name, c, 0)
 }
 
-// assignment adds the endpoints of a cluster. Each server is a locality of its
-// own, its sub-zone: so weights reach proxies that weigh only localities, and
-// load reports, which are by locality, tell of single servers.
+// assignment adds the endpoints of a cluster. Proxies that know TTLs weigh
+// endpoints, by the least requests among them, and report load by endpoint: a
+// hall is a locality. For the others each server is one of its own, its
+// sub-zone: so weights and load reports, which are by locality there, are those
+// of single servers.
 func (e *encoder) assignment(name string, drop uint32, cell *int, ttl time.Duration) {
 	cla := &endpointv3.ClusterLoadAssignment{ClusterName: name, Policy: &endpointv3.ClusterLoadAssignment_Policy{}}
 	if drop > 0 {
@@ -276,32 +281,43 @@
 func (e *encoder) fill(cla *endpointv3.ClusterLoadAssignment, cell *int) (live []string) {
 	level, from := -1, uint32(math.MaxUint32)
 	for _, l := range e.view.Localities {
-		parts := sumOf(l.Endpoints)
+		parts, own := sumOf(l.Endpoints), 0.0
+		var hall *endpointv3.LocalityLbEndpoints
 		for _, x := range l.Endpoints {
 			if cell != nil && x.Cell != *cell {
 				continue
 			}
+			ep, err := endpoint(x.Addr)
+			if err != nil {
+				if e.err == nil {
+					e.err = err
+				}
+				continue
+			}
 			if l.Priority != from { // priorities must have no gap
 				level, from = level+1, l.Priority
 			}
-			weight := uint32(1)
+			part := 0.0
 			if x.Health == steer.Healthy {
-				// Rounded down: a cold server's part must not grow by it.
-				weight = uint32(math.Max(1, float64(l.Weight)*float64(x.Weight)/parts*1000))
+				part = float64(x.Weight)
 				live = append(live, x.Addr)
 			}
-			ep, err := endpoint(x.Addr)
-			if err != nil {
-				if e.err == nil {
-					e.err = err
+			own += part
+			ep.HealthStatus = healths[x.Health]
+			if e.kind.Leases {
+				if hall == nil {
+					hall = &endpointv3.LocalityLbEndpoints{Locality: &corev3.Locality{Zone: l.Zone}, Priority: uint32(level)}
+					cla.Endpoints = append(cla.Endpoints, hall)
 				}
+				ep.LoadBalancingWeight = wrapperspb.UInt32(max(x.Weight, 1))
+				hall.LbEndpoints = append(hall.LbEndpoints, ep)
+				hall.LoadBalancingWeight = weight(l, own/parts)
 				continue
 			}
-			ep.HealthStatus = healths[x.Health]
 			cla.Endpoints = append(cla.Endpoints, &endpointv3.LocalityLbEndpoints{
 				Locality:            &corev3.Locality{Zone: l.Zone, SubZone: string(x.ID)},
 				Priority:            uint32(level),
-				LoadBalancingWeight: wrapperspb.UInt32(weight),
+				LoadBalancingWeight: weight(l, part/parts),
 				LbEndpoints:         []*endpointv3.LbEndpoint{ep},
 			})
 		}
@@ -310,6 +326,12 @@
 	return live
 }
 
+// weight is that of a part of a locality. Rounded down: a cold server's part
+// must not grow by it.
+func weight(l steer.Locality, part float64) *wrapperspb.UInt32Value {
+	return wrapperspb.UInt32(uint32(math.Max(1, float64(l.Weight)*part*1000)))
+}
+
 var healths = map[steer.Health]corev3.HealthStatus{
 	steer.Healthy: corev3.HealthStatus_HEALTHY, steer.Draining: corev3.HealthStatus_DRAINING,
 	steer.Excluded: corev3.HealthStatus_UNHEALTHY,
--- a/internal/xds/load.go
+++ b/internal/xds/load.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,7 +49,7 @@
 		return s.refuse(g.Context(), "load reports", id, status.Error(codes.ResourceExhausted, "too many load streams"))
 	}
 	defer s.finish(proxy)
-	if err := g.Send(&lrsv3.LoadStatsResponse{SendAllClusters: true,
+	if err := g.Send(&lrsv3.LoadStatsResponse{SendAllClusters: true, ReportEndpointGranularity: true,
 		LoadReportingInterval: durationpb.New(s.cfg.ReportEvery)}); err != nil {
 		return s.broken(g.Context(), id, err)
 	}
@@ -97,13 +99,40 @@
 	}
 }
 
-// Loads reads a load report. Servers are told apart by the sub-zone that they
-// were given; the same server may occur in several clusters. Without an
+// counts is what a report says of a locality or of an endpoint.
+type counts interface {
+	GetTotalIssuedRequests() uint64
+	GetTotalSuccessfulRequests() uint64
+	GetTotalErrorRequests() uint64
+	GetTotalRequestsInProgress() uint64
+}
+
+// Loads reads a load report. Servers are told apart by their address, or by the
+// sub-zone that they were given; the same server may occur in several clusters. Without an
 // interval of its own the report counts for the one that was asked for.
 func Loads(proxy steer.ProxyID, stats []*endpointv3.ClusterStats, every time.Duration) (steer.Loaded, bool) {
 	e := steer.Loaded{Proxy: proxy, Interval: every}
-	at := map[steer.ServerID]int{}
+	at := map[steer.Load]int{} // by what names a server
 	n := 0
+	add := func(who steer.Load, x counts) (issued uint64, use *float64) {
+		// A proxy that does not count what it issues counts what ended.
+		issued = max(x.GetTotalIssuedRequests(), x.GetTotalSuccessfulRequests()+x.GetTotalErrorRequests())
+		if who.Server == "" && who.Addr == "" {
+			return issued, nil
+		}
+		i, ok := at[who]
+		if !ok {
+			i = len(e.Loads)
+			at[who] = i
+			e.Loads = append(e.Loads, who)
+		}
+		l := &e.Loads[i]
+		l.Issued += issued
+		l.OK += x.GetTotalSuccessfulRequests()
+		l.Errors += x.GetTotalErrorRequests()
+		l.InFlight += x.GetTotalRequestsInProgress()
+		return issued, &l.Utilisation
+	}
 	for _, c := range stats {
 		if d := c.GetLoadReportInterval(); d != nil {
 			if v := d.AsDuration(); v > 0 && v < time.Minute {
@@ -112,30 +141,22 @@
 		}
 		arrived := c.GetTotalDroppedRequests()
 		for _, l := range c.GetUpstreamLocalityStats() {
-			if n++; n > maxLoads {
+			if n += 1 + len(l.GetUpstreamEndpointStats()); n > maxLoads {
 				return e, false
 			}
-			id := steer.ServerID(l.GetLocality().GetSubZone())
-			if id == "" {
+			if all := l.GetUpstreamEndpointStats(); len(all) > 0 {
+				for _, x := range all {
+					s := x.GetAddress().GetSocketAddress()
+					issued, _ := add(steer.Load{Addr: net.JoinHostPort(s.GetAddress(), strconv.Itoa(int(s.GetPortValue())))}, x)
+					arrived += issued
+				}
 				continue
 			}
-			i, ok := at[id]
-			if !ok {
-				i = len(e.Loads)
-				at[id] = i
-				e.Loads = append(e.Loads, steer.Load{Server: id})
-			}
-			x := &e.Loads[i]
-			// A proxy that does not count what it issues counts what ended.
-			issued := max(l.GetTotalIssuedRequests(), l.GetTotalSuccessfulRequests()+l.GetTotalErrorRequests())
+			issued, use := add(steer.Load{Server: steer.ServerID(l.GetLocality().GetSubZone())}, l)
 			arrived += issued
-			x.Issued += issued
-			x.OK += l.GetTotalSuccessfulRequests()
-			x.Errors += l.GetTotalErrorRequests()
-			x.InFlight += l.GetTotalRequestsInProgress()
 			for _, u := range []*endpointv3.UnnamedEndpointLoadMetricStats{l.GetApplicationUtilization(), l.GetCpuUtilization()} {
-				if k := u.GetNumRequestsFinishedWithMetric(); k > 0 {
-					x.Utilisation = max(x.Utilisation, u.GetTotalMetricValue()/float64(k))
+				if k := u.GetNumRequestsFinishedWithMetric(); k > 0 && use != nil {
+					*use = max(*use, u.GetTotalMetricValue()/float64(k))
 				}
 			}
 		}
--- a/steer/api.go
+++ b/steer/api.go
@@ -72,6 +72,7 @@
 // Load is what one proxy reports of one server since its last report.
 type Load struct {
 	Server   ServerID
+	Addr     string // names the server where Server is empty
 	Issued   uint64 // requests sent
 	OK       uint64 // answered
 	Errors   uint64 // failed
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -18,7 +18,7 @@
 	rateTau      = 2.0                     // s; of a server's smoothed rate of answers
 	aimPart      = 0.45                    // of the shortest aim that a server's delay may take
 	queueFactor  = 4.0                     // delay a normal server may have, in its work without a queue
-	leastHigh    = 4.0                     // H of a server at least, over all proxies
+	leastHigh    = 8.0                     // H of a server at least, over all proxies
 	lowPart      = 0.7                     // L as part of H
 	blockPart    = 2.0                     // R as part of H
 	learnCount   = 30                      // answers before a server's delay is believed
@@ -41,12 +41,12 @@
 	coldFrom Time // when its warm-up began; meaningless unless cold
 	cold     bool
 
-	n       float64 // in flight, over all proxies
+	n       float64 // in flight, over all proxies, as they last said
+	flow    float64 // answers and errors a second, the same
 	rate    float64 // answers a second, smoothed
 	peak    float64 // the most of that, slowly forgotten
 	answers float64
 	load    float64 // n, smoothed as the rate is
-	ended   float64 // answers and errors since the last tick
 	silent  Time    // since when requests are out and none has been answered; 0: not
 	judged  struct{ ok, errors float64 }
 
@@ -70,9 +70,13 @@
 	at       Time // of its last report; 0: none
 	rate     float64
 	in1, in2 float64 // arrivals a second
-	inFlight map[*server]float64
+	said     map[*server]said
 }
 
+// said is what a proxy last said of a server; it counts until the next report,
+// so that what is in flight and what is answered are of the same time.
+type said struct{ n, flow float64 }
+
 // Module makes the decisions. It is not safe for concurrent use.
 type Module struct {
 	set Settings
@@ -81,6 +85,7 @@
 
 	servers   map[ServerID]*server
 	order     []*server // by id
+	byAddr    map[string]*server
 	proxies   map[ProxyID]*proxy
 	present   []*proxy // by id: sums do not depend on a map's order
 	confirmed bool
@@ -90,8 +95,9 @@
 	mean   float64 // s; the present one
 	aimed  float64 // s; delay that the aims allow
 	shed   shedding
-	short  map[string]bool // halls that others stand in for
-	moved  Time            // when weights were last changed
+	keep   map[string]float64 // parts that halls which are short keep of their own requests
+	shared Time               // when those were last changed
+	moved  Time               // when weights were last changed
 	last   *State
 	lastAt Time // of the last publication that was not urgent
 	dirty  bool // something changed that waits for ChangeEvery
@@ -135,7 +141,7 @@
 	case set.ColdTime < 0, set.ChangeEvery < 0, set.MaxServers < 0, set.MaxProxies < 0:
 		return nil, fmt.Errorf("steer: a negative time or bound")
 	}
-	m := &Module{set: set, servers: map[ServerID]*server{}, proxies: map[ProxyID]*proxy{}, short: map[string]bool{}}
+	m := &Module{set: set, servers: map[ServerID]*server{}, byAddr: map[string]*server{}, proxies: map[ProxyID]*proxy{}, keep: map[string]float64{}}
 	m.aimed = math.Inf(1)
 	for _, c := range set.Classes {
 		if c.Aim > 0 {
@@ -250,6 +256,10 @@
 		m.order = append(m.order, s)
 	}
 	sort.Slice(m.order, func(i, j int) bool { return m.order[i].ID < m.order[j].ID })
+	clear(m.byAddr)
+	for _, s := range m.order {
+		m.byAddr[s.Addr] = s
+	}
 	m.sizes()
 	mean := 0.0
 	for _, s := range m.order {
@@ -268,16 +278,16 @@
 func (m *Module) forget(id ServerID) {
 	s := m.servers[id]
 	for _, p := range m.present {
-		delete(p.inFlight, s)
+		delete(p.said, s)
 	}
 	delete(m.servers, id)
 }
 
 func (m *Module) startCold(s *server, at Time) {
 	s.cold, s.coldFrom, s.fresh, s.silent = true, at, true, 0
-	s.n, s.load, s.rate, s.answers, s.ended = 0, 0, 0, 0, 0 // its peak is of a warm server, and stays
+	s.n, s.flow, s.load, s.rate, s.answers = 0, 0, 0, 0, 0 // its peak is of a warm server, and stays
 	for _, p := range m.present {
-		delete(p.inFlight, s)
+		delete(p.said, s)
 	}
 }
 
@@ -299,7 +309,7 @@
 		m.Left.Proxies++
 		return
 	}
-	p := &proxy{id: e.Proxy, zone: e.Zone, inFlight: map[*server]float64{}}
+	p := &proxy{id: e.Proxy, zone: e.Zone, said: map[*server]said{}}
 	m.proxies[e.Proxy] = p
 	i, _ := slices.BinarySearchFunc(m.present, p, byID)
 	m.present = slices.Insert(m.present, i, p)
@@ -317,12 +327,17 @@
 
 func byID(a, b *proxy) int { return strings.Compare(string(a.id), string(b.id)) }
 
+// unsay takes back what a proxy said of servers.
+func (m *Module) unsay(p *proxy) {
+	for s, x := range p.said {
+		s.n, s.flow = math.Max(0, s.n-x.n), math.Max(0, s.flow-x.flow)
+	}
+	clear(p.said)
+}
+
 // silence takes back what a proxy has reported.
 func (m *Module) silence(p *proxy) {
-	for s, n := range p.inFlight {
-		s.n = math.Max(0, s.n-n)
-	}
-	clear(p.inFlight)
+	m.unsay(p)
 	p.at, p.rate, p.in1, p.in2 = 0, 0, 0, 0
 }
 
@@ -334,25 +349,28 @@
 		return
 	}
 	sec := math.Max(e.Interval.Seconds(), 0.01)
-	for s, n := range p.inFlight {
-		s.n = math.Max(0, s.n-n)
-	}
-	clear(p.inFlight)
+	m.unsay(p)
 	rate := 0.0
 	for _, l := range e.Loads {
 		s := m.servers[l.Server]
+		if l.Server == "" {
+			s = m.byAddr[l.Addr]
+		}
 		if s == nil {
 			m.Left.Loads++
 			continue
 		}
 		// Guards against one liar: no proxy has more out than a server can hold.
 		n := math.Min(float64(l.InFlight), 1e5)
-		p.inFlight[s] += n
+		flow := float64(l.OK+l.Errors) / sec
+		x := p.said[s]
+		p.said[s] = said{x.n + n, x.flow + flow}
 		s.n += n
+		s.flow += flow
+		s.answers += float64(l.OK + l.Errors)
 		rate += float64(l.Issued) / sec
 		s.judged.ok += float64(l.OK)
 		s.judged.errors += float64(l.Errors)
-		s.ended += float64(l.OK) + float64(l.Errors)
 		if l.Utilisation >= fullUse {
 			s.told = m.now + validity // its own word, which lapses
 		}
@@ -405,6 +423,7 @@
 	m.suspect()
 	m.move()
 	m.divide()
+	m.share()
 	if m.last != nil && m.limit() != m.last.View("").MaxRequests {
 		m.dirty = true
 	}
@@ -427,11 +446,9 @@
 	step := TickEvery.Seconds()
 	n, rate := 0.0, 0.0
 	for _, s := range m.order {
-		s.rate += (s.ended/step - s.rate) * step / rateTau
+		s.rate += (s.flow - s.rate) * step / rateTau
 		s.load += (s.n - s.load) * step / rateTau
 		s.peak = math.Max(s.peak*(1-step/memoryTau), s.rate/m.warmth(s))
-		s.answers += s.ended
-		s.ended = 0
 		if !s.excluded && s.answers >= learnCount {
 			n, rate = n+s.load, rate+s.rate
 		}
@@ -495,7 +512,9 @@
 	}
 	for _, s := range m.order {
 		done := s.judged.ok + s.judged.errors
-		bad := done >= suspectLeast && s.judged.errors >= suspectPart*done
+		// Guards against taking out, one after the other, servers that turn
+		// requests away because they are full.
+		bad := done >= suspectLeast && s.judged.errors >= suspectPart*done && s.mode == balance.Normal
 		silent := s.silent > 0 && m.now-s.silent >= silentAfter
 		if done >= suspectLeast || silent {
 			s.judged.ok, s.judged.errors = 0, 0
--- a/steer/view.go
+++ b/steer/view.go
@@ -10,8 +10,11 @@
 
 const (
 	surge     = 1.6  // times the reported requests that may come before the next report
-	fullPart  = 0.85 // of a hall's capacity beyond which others stand in for it
-	backPart  = 0.7  // and below which it takes all its requests again
+	fullPart  = 0.85 // of a hall's capacity up to which it stands in for others
+	keepFirst = 0.9  // of what a hall answers when it gets short, that it keeps
+	keepLess  = 0.95 // of that, each step while none of its servers is normal
+	keepMore  = 1.03 // each step while one is
+	keepLeast = 0.05
 	spare     = 2.0  // times a proxy's even part of all that may be out
 	silentFor = 3.0  // s in which a silent server holds what it is sent, until it is excluded
 	firstOut  = 1024 // before anything is known
@@ -109,15 +112,11 @@
 // spill says which part of a hall's requests other halls take. A hall that is
 // short keeps what it can carry; the rest goes where there is room.
 func (m *Module) spill(h *hall, halls map[string]*hall, zones []string) {
-	switch {
-	case h.usable == 0:
-		m.short[h.zone] = true
-	case h.demand > fullPart*h.capacity*m.room(h):
-		m.short[h.zone] = true
-	case h.demand < backPart*h.capacity*m.room(h):
-		delete(m.short, h.zone)
-	}
-	if !m.short[h.zone] {
+	keep, short := m.keep[h.zone]
+	if h.usable == 0 {
+		keep, short = 0, true
+	}
+	if !short {
 		h.share[h.zone] = 1
 		return
 	}
@@ -133,11 +132,8 @@
 		}
 		room[z], all = r, all+r
 	}
-	keep := 1.0
-	if h.usable == 0 {
-		keep = 0
-	} else if all > 0 && h.demand > 0 {
-		keep = math.Min(1, fullPart*h.capacity*m.room(h)/h.demand)
+	if all == 0 {
+		keep = 1 // nobody has room
 	}
 	if keep > 0 {
 		h.share[h.zone] = keep
@@ -150,16 +146,56 @@
 }
 
 // room is how far a hall may be filled beyond the rates that were seen: those
-// are what its servers were sent, not what they can do, while all are normal.
+// are what its servers were sent, not what they can do, while one is normal.
 func (m *Module) room(h *hall) float64 {
-	for _, s := range h.servers {
-		if m.usable(s) && s.mode == balance.Normal && !s.cold {
-			return 2
-		}
+	if m.calm(h) {
+		return 2
 	}
 	return 1
 }
 
+// calm says whether a warm server of a hall is normal.
+func (m *Module) calm(h *hall) bool {
+	return slices.ContainsFunc(h.servers, func(s *server) bool { return m.usable(s) && s.mode == balance.Normal && !s.cold })
+}
+
+// share renews, once in ChangeEvery, the parts that halls keep of their own
+// requests. One with no normal server keeps nine tenths of what it answers, and
+// from there on less or more by steps; it is short until it keeps all.
+func (m *Module) share() {
+	if m.shared != 0 && m.now-m.shared < m.set.ChangeEvery {
+		return
+	}
+	m.shared = m.now
+	for z, h := range m.halls() {
+		if h.usable == 0 || h.demand == 0 {
+			continue
+		}
+		keep, short := m.keep[z]
+		before := keep
+		switch calm := m.calm(h); {
+		case calm && !short:
+			continue
+		case calm:
+			keep *= keepMore
+		case !short:
+			answered := 0.0
+			for _, s := range h.servers {
+				answered += s.rate
+			}
+			keep = keepFirst * answered / h.demand
+		default:
+			keep *= keepLess
+		}
+		if keep = math.Max(keepLeast, keep); keep >= 1 {
+			delete(m.keep, z)
+		} else {
+			m.keep[z] = keep
+		}
+		m.dirty = m.dirty || keep != before
+	}
+}
+
 // peakOf is the rate of a warm server: its own, or that of the others by its
 // size where it has shown none yet; 0 where nothing is known.
 func (m *Module) peakOf(s *server) float64 {
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	overPart  = 0.5  // of its weight that an overloaded server goes towards while any is normal
+	stopPart  = 0.7
+	fallMost  = 0.8
+	overPart  = 0.9  // of its weight that an overloaded server goes towards while any is normal
 	riseMost  = 1.25 // a delay under the typical one raises a weight by no more: it may only be idle
 	deadBand  = 0.15 // a delay so near to the mean moves nothing
 	leastPart = 0.05 // of the mean weight; a blocked server has no more: proxies know no server without weight
@@ -47,13 +49,13 @@
 		target := s.size / mean
 		if d := m.delay(s); d > 0 && typical > 0 {
 			if r := typical / d; r < 1-deadBand || r > 1+deadBand {
-				target *= math.Min(r, riseMost)
+				target *= math.Min(riseMost, math.Max(fallMost, math.Sqrt(r)))
 			}
 		}
 		down := s.weight / m.set.ChangeBy
 		switch {
 		case s.mode == balance.Blocking:
-			target, down = 0, down/m.set.ChangeBy
+			target, down = target*stopPart, down/m.set.ChangeBy
 		case s.mode == balance.Overloaded && normal:
 			target *= overPart
 		}
