Count only answers as a server's rate: a full server's refusals are no capacity

Need: refusals of full servers counted as answers, so a cold server's share was reckoned from a rate that it never had, and it was pushed over in overload.

Change: rates and delays are of answers that served.

--- a/steer/steer.go
+++ b/steer/steer.go
@@ -362,7 +362,7 @@
 		}
 		// Guards against one liar: no proxy has more out than a server can hold.
 		n := math.Min(float64(l.InFlight), 1e5)
-		flow := float64(l.OK+l.Errors) / sec
+		flow := float64(l.OK) / sec // errors are no answers: a full server gives them fast
 		x := p.said[s]
 		p.said[s] = said{x.n + n, x.flow + flow}
 		s.n += n
@@ -493,10 +493,10 @@
 // delay is what a request sent there now has to expect, in seconds; 0 where
 // that is not known.
 func (m *Module) delay(s *server) float64 {
-	if s.answers < learnCount || s.rate <= 0 {
+	if s.answers < learnCount || s.load <= 0 {
 		return 0
 	}
-	return s.load / s.rate
+	return s.load / math.Max(s.rate, 0.1)
 }
 
 // suspect looks for servers that fail or are silent. On reports alone no more
