--- a/steer/weights.go
+++ b/steer/weights.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	stopPart  = 0.7
-	fallMost  = 0.8
+	stopPart  = 0.7  // of its weight that a blocked server goes towards: more would push over the others
+	fallMost  = 0.8  // a delay over the typical one lowers a weight by no more, or weights swing
 	overPart  = 0.9  // of its weight that an overloaded server goes towards while any is normal
 	riseMost  = 1.25 // a delay under the typical one raises a weight by no more: it may only be idle
 	deadBand  = 0.15 // a delay so near to the mean moves nothing
-	leastPart = 0.05 // of the mean weight; a blocked server has no more: proxies know no server without weight
+	leastPart = 0.05 // of the mean weight; proxies know no server without weight
 	mostPart  = 4.0
 	flowPart  = 0.8  // of what is answered, that is let in while no server is normal
 	flowGrow  = 1.05 // a second, when one is again
