Let short halls keep by small steps, and double the reserve of cold servers

Change: a short hall keeps a twentieth less each step, and a cold server's budget reckons with twice the reported traffic instead of 1.6 times.

--- a/steer/view.go
+++ b/steer/view.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	surge     = 1.6  // times the reported requests that may come before the next report
+	surge     = 2.0  // times the reported requests that may come before the next report
 	fullPart  = 0.85 // of a hall's capacity up to which it stands in for others
-	keepFirst = 0.9  // of what a hall answers when it gets short, that it keeps
-	keepLess  = 0.95 // of that, each step while none of its servers is normal
+	keepFirst = 0.95 // of its requests that a hall keeps when it gets short: what it answers lags too much to go by
+	keepLess  = 0.95 // of that part, each step while none of its servers is normal
 	keepMore  = 1.03 // each step while one is
 	keepLeast = 0.05
 	spare     = 2.0  // times a proxy's even part of all that may be out
@@ -160,8 +160,8 @@
 }
 
 // share renews, once in ChangeEvery, the parts that halls keep of their own
-// requests. One with no normal server keeps nine tenths of what it answers, and
-// from there on less or more by steps; it is short until it keeps all.
+// requests, by steps: less while none of its servers is normal, more while one
+// is. It is short until it keeps all.
 func (m *Module) share() {
 	if m.shared != 0 && m.now-m.shared < m.set.ChangeEvery {
 		return
@@ -179,11 +179,7 @@
 		case calm:
 			keep *= keepMore
 		case !short:
-			answered := 0.0
-			for _, s := range h.servers {
-				answered += s.rate
-			}
-			keep = keepFirst * answered / h.demand
+			keep = keepFirst
 		default:
 			keep *= keepLess
 		}
