Answer operators on a console: status, figures, and servers out of use and back

Design: internal/console has a listener, descriptors and callers of its own and asks only what the loop publishes; words on servers go to the loop on a channel that is read ahead of requests. What a word means is decided in maintenance/, a pure package that the list passes through on its way to the module: a server out by hand drains, one that is back starts cold. Not taken: a new event for balance/, as a drain already stops sends, closes idle connections and lets work end; and a library for StatsD lines, as those found push over UDP and own the timer, while here somebody asks. The socket for datagrams is shared by address, so that a second process can bind it too.

One rule is still broken: an upgrade forgets who was out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -570,6 +570,9 @@
 			s.suspect, s.strikes, s.unanswered, s.imposedUntil = false, 0, 0, m.now
 			m.startCold(s, n.StartedAt)
 		}
+		if n.State != Ready {
+			n.StartedAt = s.StartedAt // a start told while it drains counts when it is ready
+		}
 		s.Server = n
 	}
 	m.list = m.list[:0]
--- a/balance/state.go
+++ b/balance/state.go
@@ -164,6 +164,12 @@
 	return m.known[id]
 }
 
+// Suspected tells whether a server is left out by the module's own choice.
+func (m *Module) Suspected(id ServerID) bool {
+	s := m.known[id]
+	return s != nil && s.suspect
+}
+
 // maxUnused bounds the requests that are kept for reuse; more are left to the garbage collector.
 const maxUnused = 1024
 
--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -14,7 +14,9 @@
 	"runtime/debug"
 	"syscall"
 
+	"barrowscale/internal/console"
 	"barrowscale/internal/front"
+	"barrowscale/internal/handover"
 	"barrowscale/internal/node"
 )
 
@@ -38,18 +40,37 @@
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, inherited, err := handover.Listen(cfg.Listen, os.Getenv(handover.InheritedFD))
 	if err != nil {
 		return fmt.Errorf("clients: %w", err)
 	}
 	log.Printf("%s serves on %s", cfg.Name, listener.Addr())
 	n := node.New(cfg)
+	if at := os.Getenv("PROXY_CONSOLE"); at != "" {
+		cfg.Console = at
+	}
+	if cfg.Console != "" {
+		calls, err := net.Listen("tcp", cfg.Console)
+		if err != nil {
+			return fmt.Errorf("console: %w", err)
+		}
+		log.Printf("%s hears operators on %s", cfg.Name, calls.Addr())
+		c := console.New(calls, n)
+		defer c.Close()
+		go func() {
+			if err := c.Serve(); err != nil {
+				log.Printf("console: %v", err)
+			}
+		}()
+	}
 	go func() {
 		for range hup {
 			reload(n)
 		}
 	}()
-	return n.Run(ctx, front.New(n, listener, cfg.Settings.Classes, cfg.ClientSockets()))
+	f := front.New(n, listener, cfg.Settings.Classes, cfg.ClientSockets())
+	f.Shared = inherited
+	return n.Run(ctx, f)
 }
 
 // reload reads the configuration again. A malformed one changes nothing.
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -18,6 +18,7 @@
 // that counts of it, where its other files put a model on sockets.
 var decide = map[string]string{
 	"balance":              "",
+	"maintenance":          "",
 	"steer":                "",
 	"internal/lab/judge":   "",
 	"internal/lab/holds":   "",
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -34,7 +34,7 @@
 	Out       int         // attempts and probes whose outcome is to come
 	Closed    atomic.Bool // draining or gone: nothing new may be sent
 	addr      string
-	startedAt int64
+	startedAt balance.Time
 	idle      []*conn // the warmest last
 }
 
@@ -43,7 +43,7 @@
 	net.Conn
 	r         *bounded.Reader
 	addr      string
-	startedAt int64 // of the process that it leads to, as far as known
+	startedAt balance.Time // of the process that it leads to, as far as known
 	idleSince time.Time
 }
 
@@ -81,7 +81,7 @@
 
 // Update takes a server's new address and start. Connections to an older
 // process lead nowhere.
-func (p *Pool) Update(b *Server, addr string, startedAt int64) {
+func (p *Pool) Update(b *Server, addr string, startedAt balance.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b.addr != addr || b.startedAt != startedAt {
@@ -114,7 +114,7 @@
 
 // take gives the warmest idle connection that still stands, or nil and leave
 // to open a new one; ok is false if the budget is spent.
-func (p *Pool) take(b *Server) (c *conn, addr string, startedAt int64, ok bool) {
+func (p *Pool) take(b *Server) (c *conn, addr string, startedAt balance.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(b.idle) > 0 {
@@ -219,8 +219,8 @@
 // Exchange sends one message once and reads the answer, within ctx. mayWrite
 // is asked just before the first byte: guards against sending to a backend
 // that has begun to drain, or for a request that is over, while the
-// connection came up.
-func (p *Pool) Exchange(ctx context.Context, b *Server, req *http.Request, mayWrite func() bool) Result {
+// connection came up. wrote is called once the last byte is written.
+func (p *Pool) Exchange(ctx context.Context, b *Server, req *http.Request, mayWrite func() bool, wrote func()) Result {
 	c, addr, startedAt, ok := p.take(b)
 	if !ok {
 		return Result{Code: balance.Moot} // no descriptor left: no fault of the backend
@@ -242,7 +242,7 @@
 		return Result{Code: balance.Moot}
 	}
 	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	res, keep := c.roundTrip(req)
+	res, keep := c.roundTrip(req, wrote)
 	if !unwatch() {
 		keep = false
 	}
@@ -263,7 +263,7 @@
 }
 
 // roundTrip writes the request in one piece and reads the answer whole.
-func (c *conn) roundTrip(req *http.Request) (res Result, keep bool) {
+func (c *conn) roundTrip(req *http.Request, wrote func()) (res Result, keep bool) {
 	var out bytes.Buffer
 	if err := req.Write(&out); err != nil {
 		return Result{Code: balance.ConnectFailed}, false
@@ -271,6 +271,7 @@
 	if n, err := c.Write(out.Bytes()); err != nil && n < out.Len() {
 		return Result{Code: balance.ConnectFailed}, false // its last byte was never written: it has not run
 	}
+	wrote()
 	resp, body, err := c.r.Answer(req)
 	if errors.Is(err, bounded.ErrSpoilt) {
 		return Result{Code: balance.ServerError}, false // the backend works, so it is not taken for dead
@@ -296,7 +297,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.connectTimeout+probeTimeout)
 	defer cancel()
 	req := NewRequest(http.MethodGet, "/metrics/load", nil)
-	res := p.Exchange(ctx, b, req, func() bool { return !b.Closed.Load() })
+	res := p.Exchange(ctx, b, req, func() bool { return !b.Closed.Load() }, func() {})
 	if res.Code == balance.OK {
 		res.Report = ParseReport(string(res.Body))
 	}
--- /dev/null
+++ b/internal/console/console_test.go
@@ -0,0 +1,144 @@
+package console
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"barrowscale/maintenance"
+)
+
+type fakeNode struct {
+	up    atomic.Bool
+	mu    sync.Mutex
+	words []string
+	err   error
+}
+
+func (f *fakeNode) Ready() bool     { return f.up.Load() }
+func (f *fakeNode) Figures() []byte { return []byte("app.relayed:3|c\n") }
+func (f *fakeNode) Maintain(_ context.Context, id string, out bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id == "nobody" {
+		return maintenance.ErrUnknown
+	}
+	f.words = append(f.words, fmt.Sprint(id, out))
+	return f.err
+}
+
+func start(t *testing.T) (*fakeNode, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &fakeNode{}
+	n.up.Store(true)
+	s := New(l, n)
+	go s.Serve()
+	t.Cleanup(func() { s.Close() })
+	return n, l.Addr().String()
+}
+
+// call makes one call and tells the status, the body and how the connection ends.
+func call(t *testing.T, addr, text string) (status int, body string, header http.Header) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, text)
+	r := bufio.NewReader(c)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+	raw, _ := io.ReadAll(resp.Body)
+	if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("%q: the connection goes on: %v", text, err)
+	}
+	return resp.StatusCode, string(raw), resp.Header
+}
+
+func put(path, id string) string {
+	return fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, len(id), id)
+}
+
+func TestCalls(t *testing.T) {
+	n, addr := start(t)
+	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+	for _, c := range []struct {
+		text string
+		want int
+		body string
+	}{
+		{get("/status"), 200, ""},
+		{get("/status/metrics"), 200, "app.relayed:3|c\n"},
+		{put("/maintenance/enter", "s-1"), 200, ""},
+		{put("/maintenance/exit", "s-1\n"), 200, ""},
+		{"PUT /maintenance/enter HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ns-\r\n1\r\n1\r\n0\r\n\r\n", 200, ""},
+		{put("/maintenance/enter", "nobody"), 404, ""},
+		{put("/maintenance/enter", ""), 400, ""},
+		{put("/maintenance/enter", strings.Repeat("x", maxID+1)), 413, ""},
+		{get("/maintenance/enter"), 405, ""},
+		{put("/status", ""), 405, ""},
+		{get("/other"), 404, ""},
+		{"nonsense\r\n\r\n", 400, ""},
+	} {
+		status, body, header := call(t, addr, c.text)
+		if status != c.want || c.body != "" && body != c.body {
+			t.Errorf("%q: got %d %q", c.text, status, body)
+		}
+		if status == 405 && header.Get("Allow") == "" {
+			t.Errorf("%q: 405 names no method", c.text)
+		}
+	}
+	if got := fmt.Sprint(n.words); got != "[s-1true s-1false s-1true]" {
+		t.Errorf("the node heard %s", got)
+	}
+	n.up.Store(false)
+	if status, _, _ := call(t, addr, get("/status")); status != 503 {
+		t.Errorf("/status before the node takes clients: %d", status)
+	}
+	n.err = errors.New("busy")
+	if status, _, _ := call(t, addr, put("/maintenance/enter", "s-1")); status != 503 {
+		t.Errorf("a word that the node did not take: %d", status)
+	}
+}
+
+// Callers that stay without a whole call, some with half a head, take nothing
+// from those that call.
+func TestSilentCallersHoldUpNobody(t *testing.T) {
+	_, addr := start(t)
+	for i := range 200 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%2 == 0 {
+			io.WriteString(c, "GET /status HT")
+		}
+	}
+	slowest := time.Duration(0)
+	for range 20 {
+		began := time.Now()
+		if status, _, _ := call(t, addr, "GET /status/metrics HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+			t.Fatalf("got %d", status)
+		}
+		slowest = max(slowest, time.Since(began))
+	}
+	t.Logf("the slowest answer took %v", slowest)
+}
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -22,6 +22,7 @@
 	idle   map[net.Conn]time.Time // between requests
 	closed chan struct{}
 	close  sync.Once
+	end    error // of the listener's close
 }
 
 func newClientConns(most int) *clientConns {
@@ -42,8 +43,11 @@
 }
 
 func (c *clientConns) Close() error {
-	c.close.Do(func() { close(c.closed) })
-	return c.Listener.Close()
+	c.close.Do(func() {
+		close(c.closed)
+		c.end = c.Listener.Close()
+	})
+	return c.end
 }
 
 // room tells whether there is room, and makes some if there is none.
@@ -61,6 +65,13 @@
 	return false // until the server tells that it is closed
 }
 
+// any tells whether any connection is open.
+func (c *clientConns) any() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open > 0
+}
+
 // crowded tells that the budget is nearly spent. Connections then end with
 // their answers: guards against idle ones, which may not be closed at once,
 // that keep all others waiting.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 
 	"barrowscale/balance"
 	"barrowscale/internal/bounded"
+	"barrowscale/internal/figures"
 	"barrowscale/internal/node"
 )
 
@@ -31,6 +32,8 @@
 	acceptTime = 600 * time.Millisecond // after SIGTERM: new connections still come for a while
 	drainSlack = 200 * time.Millisecond // for answers that the node gives at the end of a drain
 
+	closeSlack = 300 * time.Millisecond // before the end of a drain: idle connections are closed from then on
+
 	freshSpare = 50 * time.Millisecond // a connection's first request comes right behind it
 	idleSpare  = 2 * time.Second       // no earlier may an idle connection be closed
 	roomBatch  = 16                    // how many are closed at once: a crowd comes by hundreds
@@ -40,17 +43,19 @@
 // HTTP is the front. Its methods may be called from several goroutines.
 type HTTP struct {
 	AcceptMore time.Duration // after the word to end: new connections still come for so long
+	Shared     bool          // another process may take what waits at the listener
 	node       *node.Node
 	classes    map[string]balance.Class
 	server     *http.Server
 	clients    *clientConns
 	draining   atomic.Bool
+	drained    chan struct{} // closed when Drain has ended
 }
 
 // New makes a front for a node, on a listener, with so many client
 // connections at most.
 func New(n *node.Node, listener net.Listener, classes []balance.Class, most int) *HTTP {
-	f := &HTTP{AcceptMore: acceptTime, node: n, classes: map[string]balance.Class{}, clients: newClientConns(most)}
+	f := &HTTP{AcceptMore: acceptTime, node: n, classes: map[string]balance.Class{}, drained: make(chan struct{}), clients: newClientConns(most)}
 	for _, c := range classes {
 		f.classes[c.Name] = c
 	}
@@ -62,7 +67,13 @@
 }
 
 // Serve takes requests until Drain.
-func (f *HTTP) Serve() error { return f.server.Serve(f.clients) }
+func (f *HTTP) Serve() error {
+	err := f.server.Serve(f.clients)
+	if f.draining.Load() && errors.Is(err, net.ErrClosed) {
+		<-f.drained
+	}
+	return err
+}
 
 // Drain ends the service. http.Server.Shutdown closes the listener at once,
 // which would reset connections that are still coming, so it has to wait.
@@ -70,7 +81,16 @@
 // could cut off a request that the server has just read.
 func (f *HTTP) Drain(end time.Time) error {
 	f.draining.Store(true)
+	defer close(f.drained)
 	time.Sleep(f.AcceptMore)
+	if f.Shared {
+		// The next process has the listener; here clients' connections end with
+		// their answers. One that is closed while idle may cross a request.
+		f.clients.Close()
+		for f.clients.any() && time.Now().Before(end.Add(-closeSlack)) {
+			time.Sleep(roomPause)
+		}
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(drainSlack))
 	defer cancel()
 	if err := f.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
@@ -119,9 +139,13 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	count := f.node.Count()
+	count.Open.Add(1)
+	defer count.Open.Add(-1)
 	answer := f.node.Take(req)
 	select {
 	case a := <-answer:
+		count.Ended(req.Class, figures.OutcomeOf(a.Status))
 		if a.HoldOff > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
 		}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,18 +9,20 @@
 	"strconv"
 
 	"barrowscale/balance"
+	"barrowscale/internal/console"
 	"barrowscale/internal/discovery"
 	"barrowscale/internal/wire"
 )
 
 const (
 	reservedSockets = 24 // listeners, discovery, peers, standard streams, the runtime's own
-	leastSockets    = 2 * reservedSockets
+	leastSockets    = 2 * (reservedSockets + console.Sockets)
 )
 
 // Config is what a node is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Console                 string // where operators call; empty: nowhere
 	Seed                    int64
 	Cores                   float64
 	MemoryMB, Sockets       int
@@ -51,6 +53,7 @@
 	var in struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
+		Console   string `json:"console"`
 		Discovery string `json:"discovery"`
 		Seed      string `json:"seed"`
 		Limits    struct {
@@ -71,10 +74,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Seed: int64(seed),
+	c := &Config{Name: in.Name, Listen: in.Listen, Console: in.Console, Discovery: in.Discovery, Seed: int64(seed),
 		Cores: in.Limits.Cores, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
 		PeerListen: in.PeerListen, PeersAll: in.PeersAll, Peers: in.Peers}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	addrs := map[string]string{"listen": c.Listen, "discovery": c.Discovery}
+	if c.Console != "" {
+		addrs["console"] = c.Console
+	}
+	for name, addr := range addrs {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
@@ -110,8 +117,16 @@
 	return c, nil
 }
 
+// reserved is what neither clients nor backends get.
+func (c *Config) reserved() int {
+	if c.Console != "" {
+		return reservedSockets + console.Sockets
+	}
+	return reservedSockets
+}
+
 // backendSockets is the part of the descriptors that connections to backends
 // may take, ClientSockets that of clients, which are more: each request at a
 // backend has its client's connection, and clients keep idle ones too.
-func (c *Config) backendSockets() int { return (c.Sockets - reservedSockets) * 3 / 8 }
-func (c *Config) ClientSockets() int  { return c.Sockets - reservedSockets - c.backendSockets() }
+func (c *Config) backendSockets() int { return (c.Sockets - c.reserved()) * 3 / 8 }
+func (c *Config) ClientSockets() int  { return c.Sockets - c.reserved() - c.backendSockets() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,17 +10,21 @@
 	"log"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"barrowscale/balance"
 	"barrowscale/internal/backend"
 	"barrowscale/internal/discovery"
+	"barrowscale/internal/figures"
+	"barrowscale/maintenance"
 )
 
 const (
 	eventQueue   = 1024
 	drainTime    = 3200 * time.Millisecond // after SIGTERM: everything is answered by then
 	reapInterval = time.Second
+	lookInterval = 100 * time.Millisecond // how old the figures of the list may be
 )
 
 // Source tells a node which servers there are. What it has to tell it posts.
@@ -49,6 +53,11 @@
 	source   Source
 	version  uint64 // of the list
 	peers    *peers
+	words    chan word // of operators: heard before requests
+	ready    atomic.Bool
+	figures  *figures.Set
+	listed   map[string]discovery.Entry // the list as discovery told it
+	byHand   *maintenance.Table
 	outcome  balance.AttemptEnded // the last one, kept from call to call: no garbage
 }
 
@@ -83,6 +92,7 @@
 	n := &Node{cfg: cfg, module: balance.New(cfg.Settings, cfg.Seed),
 		start: time.Now(), events: make(chan any, eventQueue), done: make(chan struct{}),
 		requests: map[balance.RequestID]*Request{}, servers: map[balance.ServerID]*backend.Server{},
+		words: make(chan word), listed: map[string]discovery.Entry{}, byHand: maintenance.New(nil), figures: figures.New(classNames(cfg.Settings)),
 		ids: map[string]balance.ServerID{}, version: cfg.Known.Generation,
 		pool: backend.NewPool(cfg.backendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)}
 	n.source = n.discover(cfg.Discovery)
@@ -111,6 +121,7 @@
 	n.post(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	go n.loop(loopCtx)
+	n.ready.Store(true)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
 	select {
@@ -155,10 +166,21 @@
 func (n *Node) loop(ctx context.Context) {
 	defer close(n.done)
 	defer func() { n.source.Close() }()
-	reap := time.NewTicker(reapInterval)
+	reap, look := time.NewTicker(reapInterval), time.NewTicker(lookInterval)
 	defer reap.Stop()
+	defer look.Stop()
 	for {
 		select {
+		case w := <-n.words: // ahead of all that waits in the other queue
+			w.answer <- n.maintain(w)
+			continue
+		default:
+		}
+		select {
+		case w := <-n.words:
+			w.answer <- n.maintain(w)
+		case <-look.C:
+			n.look()
 		case e := <-n.events:
 			n.take(e)
 		case <-reap.C:
@@ -257,10 +279,29 @@
 		return
 	}
 	n.version = e.List.Generation
-	update := balance.ListUpdate{Kind: e.Kind, Version: e.List.Generation}
-	listed := map[balance.ServerID]bool{}
+	if e.Kind != balance.ListChanges {
+		clear(n.listed)
+	}
 	for _, entry := range e.List.Instances {
-		id, state := n.idOf(entry.InstanceID), discovery.Lifecycles[entry.Lifecycle]
+		if discovery.Lifecycles[entry.Lifecycle] == balance.Gone {
+			delete(n.listed, entry.InstanceID)
+		} else {
+			n.listed[entry.InstanceID] = entry
+		}
+	}
+	n.apply(e.Kind, e.List.Instances)
+}
+
+// apply tells of entries of the list as maintenance lets them be seen.
+func (n *Node) apply(kind balance.ListKind, entries []discovery.Entry) {
+	update := balance.ListUpdate{Kind: kind, Version: n.version}
+	listed := map[balance.ServerID]bool{}
+	for _, entry := range entries {
+		id := n.idOf(entry.InstanceID)
+		n.byHand.Listed(entry.InstanceID, discovery.Lifecycles[entry.Lifecycle] != balance.Gone)
+		seen := n.byHand.Apply(entry.InstanceID, balance.Server{ID: id, Zone: entry.Zone, Kind: entry.MachineType,
+			Cell: entry.Cell, State: discovery.Lifecycles[entry.Lifecycle], Size: entry.Weight,
+			StartedAt: time.Duration(entry.StartedAtMs) * time.Millisecond})
 		b := n.servers[id]
 		if b == nil {
 			b = &backend.Server{ID: id, Name: entry.InstanceID}
@@ -268,18 +309,17 @@
 			n.pool.Add(b)
 		}
 		listed[id] = true
-		b.Gone = state == balance.Gone
-		if b.Closed.Store(state != balance.Ready); state != balance.Gone {
-			n.pool.Update(b, entry.HostPort, entry.StartedAtMs)
+		b.Gone = seen.State == balance.Gone
+		if b.Closed.Store(seen.State != balance.Ready); seen.State != balance.Gone {
+			n.pool.Update(b, entry.HostPort, seen.StartedAt)
 		}
-		update.Entries = append(update.Entries, balance.Server{ID: id, Zone: entry.Zone, Kind: entry.MachineType,
-			Cell: entry.Cell, State: state, Size: entry.Weight,
-			StartedAt: time.Duration(entry.StartedAtMs) * time.Millisecond})
+		update.Entries = append(update.Entries, seen)
 	}
 	for id, b := range n.servers {
-		if e.Kind != balance.ListChanges && !listed[id] {
+		if kind != balance.ListChanges && !listed[id] {
 			b.Closed.Store(true)
 			b.Gone = true
+			n.byHand.Listed(b.Name, false)
 		}
 		if b.Closed.Load() {
 			n.pool.CloseIdle(b)
@@ -289,6 +329,7 @@
 	for _, b := range n.servers {
 		n.drop(b)
 	}
+	n.look()
 }
 
 // drop forgets a server that is gone once nothing is out there: guards against
@@ -383,7 +424,8 @@
 			req.Header.Set("Idempotency-Key", r.Key)
 		}
 		req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(end).Milliseconds()), 10))
-		res := n.pool.Exchange(ctx, b, req, func() bool { return !b.Closed.Load() && !r.over.Load() && ctx.Err() == nil })
+		res := n.pool.Exchange(ctx, b, req, func() bool { return !b.Closed.Load() && !r.over.Load() && ctx.Err() == nil },
+			func() { n.figures.Relayed.Add(1) })
 		n.post(attemptDone{a, res, time.Since(a.sentAt)})
 	}()
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"syscall"
 
 	"barrowscale/balance"
 )
@@ -35,7 +37,8 @@
 		p.addrs = append(p.addrs, a)
 		p.numbers[a.String()] = i
 	}
-	conn, err := net.ListenPacket("udp", c.PeerListen)
+	lc := net.ListenConfig{Control: shareAddress}
+	conn, err := lc.ListenPacket(context.Background(), "udp", c.PeerListen)
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
@@ -43,6 +46,18 @@
 	return p, nil
 }
 
+// shareAddress lets the process that takes over bind the address beside the
+// one that ends; what comes then goes to the one that bound last.
+func shareAddress(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if told := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	}); told != nil {
+		return told
+	}
+	return err
+}
+
 // receive passes on datagrams until the socket is closed. One from a
 // stranger, or too long, is dropped.
 func (p *peers) receive(post func(any)) {
--- /dev/null
+++ b/maintenance/maintenance_test.go
@@ -0,0 +1,112 @@
+package maintenance
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"barrowscale/balance"
+)
+
+const s = time.Second
+
+func TestTwoWordsOutTakeOneWordBack(t *testing.T) {
+	tab := New(nil)
+	if err := tab.Enter("a", s, 0); !errors.Is(err, ErrUnknown) {
+		t.Fatalf("an id that nobody has: %v", err)
+	}
+	if err := tab.Exit("a", s); !errors.Is(err, ErrUnknown) {
+		t.Fatalf("back, an id that nobody has: %v", err)
+	}
+	tab.Listed("a", true)
+	for _, at := range []balance.Time{s, 2 * s} {
+		if err := tab.Enter("a", at, 0); err != nil || !tab.Out("a") {
+			t.Fatalf("enter: %v", err)
+		}
+	}
+	if r := tab.Records(); len(r) != 1 || r[0].Entered != s {
+		t.Errorf("the second word changed the record: %+v", r)
+	}
+	for range 2 {
+		if err := tab.Exit("a", 3*s); err != nil || tab.Out("a") {
+			t.Fatalf("exit: %v", err)
+		}
+	}
+}
+
+func TestWhatTheModuleSees(t *testing.T) {
+	ready := func(start balance.Time) balance.Server { return balance.Server{State: balance.Ready, StartedAt: start} }
+	for _, c := range []struct {
+		name  string
+		r     Record
+		in    balance.Server
+		state balance.ServerState
+		start balance.Time
+	}{
+		{"out, listed as up", Record{Out: true, Entered: 5 * s}, ready(0), balance.Draining, 0},
+		{"out, restarted and listed as up", Record{Out: true, Entered: 5 * s}, ready(7 * s), balance.Draining, 7 * s},
+		{"out and gone", Record{Out: true, Entered: 5 * s}, balance.Server{State: balance.Gone}, balance.Gone, 0},
+		{"back, no start told", Record{Entered: 5 * s, Exited: 9 * s}, ready(0), balance.Ready, 9 * s},
+		{"back, only the old start told", Record{Entered: 5 * s, Exited: 9 * s, Started: 4 * s}, ready(4 * s), balance.Ready, 9 * s},
+		{"back, the restart told", Record{Entered: 5 * s, Exited: 9 * s, Started: 4 * s}, ready(7 * s), balance.Ready, 7 * s},
+		{"back, and restarted again", Record{Entered: 5 * s, Exited: 9 * s}, ready(12 * s), balance.Ready, 12 * s},
+		{"back, but drains by the list", Record{Entered: 5 * s, Exited: 9 * s}, balance.Server{State: balance.Draining}, balance.Draining, 9 * s},
+	} {
+		c.r.ID = "a"
+		got := New([]Record{c.r}).Apply("a", c.in)
+		if got.State != c.state || got.StartedAt != c.start {
+			t.Errorf("%s: state %d, start %v", c.name, got.State, got.StartedAt)
+		}
+	}
+	if got := New(nil).Apply("a", ready(3*s)); got.StartedAt != 3*s || got.State != balance.Ready {
+		t.Errorf("a server that nobody touched: %+v", got)
+	}
+}
+
+// A server that leaves the list and comes back is still out, and what a next
+// process gets says the same.
+func TestOutHoldsOverTheListAndAnUpgrade(t *testing.T) {
+	tab := New(nil)
+	tab.Listed("a", true)
+	tab.Listed("b", true)
+	tab.Listed("b", false)
+	if err := tab.Enter("b", s, 0); err != nil {
+		t.Fatalf("enter during its absence: %v", err)
+	}
+	tab.Enter("a", 2*s, 0)
+	tab.Listed("a", false)
+	tab.Listed("a", true)
+	next := New(tab.Records())
+	if !tab.Out("a") || !next.Out("a") || !next.Out("b") {
+		t.Fatal("a word was lost")
+	}
+	if err := next.Exit("b", 3*s); err != nil {
+		t.Errorf("exit at the next process: %v", err)
+	}
+}
+
+// Guards against growth where servers are replaced for months, and against a
+// word that is forgotten for it.
+func TestTheTableIsBounded(t *testing.T) {
+	tab := New(nil)
+	tab.Listed("kept", true)
+	tab.Enter("kept", s, 0)
+	tab.Listed("kept", false)
+	for i := range 2 * MaxKnown {
+		id := fmt.Sprint("s", i)
+		tab.Listed(id, true)
+		tab.Listed(id, false)
+	}
+	if len(tab.known) > MaxKnown || !tab.Out("kept") {
+		t.Errorf("%d ids, kept out: %v", len(tab.known), tab.Out("kept"))
+	}
+	tab.Exit("kept", 2*s)
+	tab.Forget(2*s+time.Millisecond, s)
+	if len(tab.Records()) != 1 {
+		t.Error("forgotten while it may be cold")
+	}
+	if tab.Forget(5*s, s); len(tab.Records()) != 0 {
+		t.Error("kept for good")
+	}
+}
