Hand the node's state to the process that takes over

Design: handoff/ (pure) says who speaks for the node, what a new process takes over and how connections are shared while two run; internal/handover keeps one state file in $TMPDIR (temporary file, fsync, rename; version, length and CRC-32C in its head) and a locked file for each process, by which others see that it lives. The newest process owns the state; the old one sends operators there, follows its words, and owns the state again if the new one dies. A cold server's budget begins empty at the new process. Not taken: a socket between the processes, which is one more listener, and the process's number as its identity, which differs by who looks.

--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -46,6 +46,14 @@
 	}
 	log.Printf("%s serves on %s", cfg.Name, listener.Addr())
 	n := node.New(cfg)
+	var shared *handover.Files
+	if inherited { // two processes of this node may run beside one another
+		if shared, err = handover.Open(os.TempDir(), cfg.Name); err != nil {
+			return err
+		}
+		defer shared.Close()
+		takeOver(n, shared)
+	}
 	if at := os.Getenv("PROXY_CONSOLE"); at != "" {
 		cfg.Console = at
 	}
@@ -70,9 +78,30 @@
 	}()
 	f := front.New(n, listener, cfg.Settings.Classes, cfg.ClientSockets())
 	f.Shared = inherited
+	if shared != nil {
+		full := handover.Usage{Clients: cfg.ClientSockets(), Backends: cfg.BackendSockets()}
+		go shared.Follow(context.Background(), full, func() handover.Usage {
+			return handover.Usage{Clients: f.Connections(), Backends: n.Backends().Open()}
+		}, func(most handover.Usage, alone bool) {
+			f.SetMost(most.Clients)
+			n.Backends().SetMost(most.Backends)
+		})
+	}
 	return n.Run(ctx, f)
 }
 
+// takeOver begins from what the process before this one left.
+func takeOver(n *node.Node, shared *handover.Files) {
+	found, err := shared.Take()
+	switch {
+	case err != nil:
+		log.Printf("a clean start: %v", err)
+	case found != nil:
+		log.Printf("takes over from owner %d of list %d, with %d records of maintenance", found.Epoch, found.Generation, len(found.Maintenance))
+	}
+	n.TakeOver(found, shared)
+}
+
 // reload reads the configuration again. A malformed one changes nothing.
 func reload(n *node.Node) {
 	cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
--- /dev/null
+++ b/handoff/handoff.go
@@ -0,0 +1,101 @@
+// Package handoff decides how two processes of one node share what is one
+// node's: who speaks for the operators' words, what the next process takes
+// over, and how many connections each may hold while both run. It does no I/O
+// and reads no clock; internal/handover does what it says with files.
+package handoff
+
+import (
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/maintenance"
+)
+
+// Version is the form of State that this build writes and reads.
+const Version = 1
+
+// FreshTime is how old what a process has measured may be for the next one to
+// build on it. Older, only the list and the operators' words are taken over.
+const FreshTime = 5 * time.Second
+
+// Entry is a server as discovery told it last.
+type Entry struct {
+	InstanceID  string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+}
+
+// Learned is what a process measured of one server, by discovery's name: the
+// module's numbers differ from process to process.
+type Learned struct {
+	InstanceID string `json:"instanceId"`
+	balance.LearnedServer
+}
+
+// State is what a process tells the one that takes over from it.
+type State struct {
+	Version     int                  `json:"version"`
+	Epoch       uint64               `json:"epoch"` // counts owners: the highest one speaks for the node
+	Owner       int                  `json:"owner"` // the process that wrote it
+	Node        string               `json:"node"`
+	At          balance.Time         `json:"at"` // Unix time
+	Generation  uint64               `json:"generation"`
+	List        []Entry              `json:"list"`
+	Maintenance []maintenance.Record `json:"maintenance"`
+	Fleet       balance.LearnedFleet `json:"fleet"`
+	Servers     []Learned            `json:"servers"`
+}
+
+// Verdict is what a process may do with the state that it finds.
+type Verdict int
+
+const (
+	// Keep: the state is this process's own, or there is none; it may write.
+	Keep Verdict = iota
+	// Yield: a newer process owns it and runs. This one writes no more and
+	// sends operators there.
+	Yield
+	// Reclaim: a newer process owned it and is dead. This one takes over the
+	// operators' words that it finds there, and owns it again.
+	Reclaim
+)
+
+// Judge tells a process with an epoch of its own what it may do with a state
+// that it finds, nil if there is none that can be read.
+func Judge(found *State, epoch uint64, ownerRuns bool) Verdict {
+	switch {
+	case found == nil || found.Epoch <= epoch:
+		return Keep
+	case ownerRuns:
+		return Yield
+	}
+	return Reclaim
+}
+
+// Takes tells a new process called node, at a time, what of a state is for it:
+// nothing of another node's, or in a form that it does not know, and nothing
+// measured of one that is old.
+func Takes(found *State, node string, now balance.Time) (words, measured bool) {
+	if found == nil || found.Version != Version || found.Node != node {
+		return false, false
+	}
+	return true, now-found.At <= FreshTime
+}
+
+// Share gives how many connections a process may hold of a node's full number
+// while others run that hold so many. leastPart of the full number is always
+// its own: a process that has just come must be able to begin, and one that
+// ends has that much less by the time it is told.
+func Share(full, others int, alone bool) int {
+	if alone {
+		return full
+	}
+	return max(full/leastPart, min(full-full/leastPart, full-others))
+}
+
+const leastPart = 4
--- /dev/null
+++ b/handoff/handoff_test.go
@@ -0,0 +1,65 @@
+package handoff
+
+import (
+	"testing"
+	"time"
+)
+
+func TestJudge(t *testing.T) {
+	at := func(epoch uint64) *State { return &State{Version: Version, Epoch: epoch} }
+	for _, c := range []struct {
+		name  string
+		found *State
+		runs  bool
+		want  Verdict
+	}{
+		{"nothing there", nil, false, Keep},
+		{"its own", at(3), true, Keep},
+		{"an older one's", at(2), true, Keep},
+		{"a newer one's that runs", at(4), true, Yield},
+		{"a newer one's that died", at(4), false, Reclaim},
+	} {
+		if got := Judge(c.found, 3, c.runs); got != c.want {
+			t.Errorf("%s: %d", c.name, got)
+		}
+	}
+}
+
+func TestTakes(t *testing.T) {
+	s := &State{Version: Version, Node: "n0", At: 100 * time.Second}
+	for _, c := range []struct {
+		name            string
+		s               *State
+		node            string
+		now             time.Duration
+		words, measured bool
+	}{
+		{"fresh", s, "n0", 101 * time.Second, true, true},
+		{"old", s, "n0", 200 * time.Second, true, false},
+		{"another node's", s, "n1", 101 * time.Second, false, false},
+		{"of a later form", &State{Version: Version + 1, Node: "n0"}, "n0", 0, false, false},
+		{"none", nil, "n0", 0, false, false},
+	} {
+		if words, measured := Takes(c.s, c.node, c.now); words != c.words || measured != c.measured {
+			t.Errorf("%s: %v, %v", c.name, words, measured)
+		}
+	}
+}
+
+// Two processes that know one another's numbers never hold more than the whole.
+func TestSharesStayWithinTheWhole(t *testing.T) {
+	for full := 8; full < 400; full += 7 {
+		if Share(full, 0, true) != full {
+			t.Fatalf("alone: %d of %d", Share(full, 0, true), full)
+		}
+		for held := 0; held <= full; held++ {
+			mine := Share(full, held, false)
+			if mine < full/4 {
+				t.Fatalf("%d of %d is too little to begin with", mine, full)
+			}
+			if held <= Share(full, 0, false) && held+mine > full {
+				t.Fatalf("%d held by another and %d here are over %d", held, mine, full)
+			}
+		}
+	}
+}
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -18,6 +18,7 @@
 // that counts of it, where its other files put a model on sockets.
 var decide = map[string]string{
 	"balance":              "",
+	"handoff":              "",
 	"maintenance":          "",
 	"steer":                "",
 	"internal/lab/judge":   "",
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -97,6 +97,23 @@
 	return len(p.servers)
 }
 
+// SetMost changes how many connections there may be. Idle ones above it are
+// closed; those in use go on.
+func (p *Pool) SetMost(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+	for p.open > p.most && p.evict() {
+	}
+}
+
+// Open tells how many connections there are.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 // CloseIdle closes a server's idle connections.
 func (p *Pool) CloseIdle(b *Server) {
 	p.mu.Lock()
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -65,11 +65,18 @@
 	return false // until the server tells that it is closed
 }
 
-// any tells whether any connection is open.
-func (c *clientConns) any() bool {
+// setMost changes the budget. Connections above it end with their answers.
+func (c *clientConns) setMost(most int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.open > 0
+	c.most = most
+}
+
+// count tells how many connections are open.
+func (c *clientConns) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
 }
 
 // crowded tells that the budget is nearly spent. Connections then end with
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,7 +87,7 @@
 		// The next process has the listener; here clients' connections end with
 		// their answers. One that is closed while idle may cross a request.
 		f.clients.Close()
-		for f.clients.any() && time.Now().Before(end.Add(-closeSlack)) {
+		for f.clients.count() > 0 && time.Now().Before(end.Add(-closeSlack)) {
 			time.Sleep(roomPause)
 		}
 	}
@@ -99,6 +99,12 @@
 	return nil
 }
 
+// SetMost changes how many client connections there may be.
+func (f *HTTP) SetMost(most int) { f.clients.setMost(most) }
+
+// Connections tells how many client connections there are.
+func (f *HTTP) Connections() int { return f.clients.count() }
+
 // badRequest is a request that is turned down before the module hears of it.
 type badRequest struct {
 	status int
--- /dev/null
+++ b/internal/handover/files.go
@@ -0,0 +1,250 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"barrowscale/handoff"
+)
+
+const (
+	stateName = "ivylock.state"
+	lockName  = "ivylock.lock"
+	runPrefix = "ivylock-" // and the process's id
+	runSuffix = ".run"
+	maxRuns   = 64 // files of processes that are looked at
+
+	exchangeEvery = 50 * time.Millisecond
+)
+
+// ErrTakenOver says that a newer process speaks for the node.
+var ErrTakenOver = errors.New("a newer process has taken over; its console knows")
+
+// Usage is what a process holds of what is one node's.
+type Usage struct{ Clients, Backends int }
+
+// Files are what the processes of one node share in a folder: the state, a
+// lock round each change of it, and for each process a file that it keeps
+// locked while it lives and that tells what it holds.
+type Files struct {
+	dir, node string
+	id        int      // of this process, drawn at its start: numbers of processes differ by who looks
+	run       *os.File // locked by this process for its life
+	mu        sync.Mutex
+	epoch     uint64 // of this process's ownership; 0: none yet
+}
+
+// Open joins the processes of a node that share a folder.
+func Open(dir, node string) (*Files, error) {
+	for range maxRuns {
+		id := rand.IntN(math.MaxInt32) + 1
+		run, err := os.OpenFile(filepath.Join(dir, runPrefix+strconv.Itoa(id)+runSuffix), os.O_RDWR|os.O_CREATE|os.O_EXCL, 0o600)
+		if errors.Is(err, os.ErrExist) {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("handover: %w", err)
+		}
+		if err := syscall.Flock(int(run.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
+			// Guards against one who took the file for a dead process's before it was locked.
+			if _, err := os.Stat(run.Name()); err == nil {
+				return &Files{dir: dir, node: node, id: id, run: run}, nil
+			}
+		}
+		run.Close()
+	}
+	return nil, fmt.Errorf("handover: no file of its own in %s", dir)
+}
+
+// Close leaves the others.
+func (f *Files) Close() error {
+	os.Remove(f.run.Name())
+	return f.run.Close()
+}
+
+// lock keeps other processes from the state until the returned call.
+func (f *Files) lock() (unlock func(), err error) {
+	l, err := os.OpenFile(filepath.Join(f.dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	if err := syscall.Flock(int(l.Fd()), syscall.LOCK_EX); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return func() { l.Close() }, nil
+}
+
+// read gives the state, nil if there is none.
+func (f *Files) read() (*handoff.State, error) {
+	file, err := os.Open(filepath.Join(f.dir, stateName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	defer file.Close()
+	raw, err := io.ReadAll(io.LimitReader(file, MaxState+128))
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return Decode(raw)
+}
+
+// write puts the state in place whole: a reader sees the old one or the new one.
+func (f *Files) write(s *handoff.State) error {
+	s.Version, s.Epoch, s.Owner, s.Node = handoff.Version, f.epoch, f.id, f.node
+	raw, err := Encode(s)
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(f.dir, stateName+".*")
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	_, err = tmp.Write(raw)
+	if err == nil {
+		err = tmp.Sync()
+	}
+	if end := tmp.Close(); err == nil {
+		err = end
+	}
+	if err == nil {
+		err = os.Rename(tmp.Name(), filepath.Join(f.dir, stateName))
+	}
+	if err != nil {
+		os.Remove(tmp.Name())
+		return fmt.Errorf("handover: %w", err)
+	}
+	return nil
+}
+
+// Take makes this process the one that speaks for the node, and gives the
+// state that it takes over, nil if there is none. What can't be read is told
+// in why and is a clean start.
+func (f *Files) Take() (found *handoff.State, why error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	unlock, err := f.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	found, why = f.read()
+	f.epoch = 1
+	if found != nil {
+		f.epoch = found.Epoch + 1
+	}
+	next := handoff.State{}
+	if found != nil {
+		next = *found
+	}
+	if err := f.write(&next); err != nil && why == nil {
+		why = err
+	}
+	return found, why
+}
+
+// Store writes the state. If a newer process has owned it nothing is written,
+// and newer is what that one left: the operators' words in it hold. If that
+// process runs, the error is ErrTakenOver; else this one speaks for the node
+// again, and what it stores next is written.
+func (f *Files) Store(s *handoff.State) (newer *handoff.State, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	unlock, err := f.lock()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	found, _ := f.read() // one that can't be read is replaced
+	switch handoff.Judge(found, f.epoch, found != nil && f.runs(found.Owner)) {
+	case handoff.Yield:
+		return found, ErrTakenOver
+	case handoff.Reclaim:
+		f.epoch = found.Epoch + 1
+		return found, nil
+	}
+	return nil, f.write(s)
+}
+
+// Speaks tells whether this process speaks for the node; if not the error is
+// ErrTakenOver.
+func (f *Files) Speaks() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found, _ := f.read()
+	if handoff.Judge(found, f.epoch, found != nil && f.runs(found.Owner)) == handoff.Yield {
+		return ErrTakenOver
+	}
+	return nil
+}
+
+// runs tells whether a process holds its file.
+func (f *Files) runs(id int) bool {
+	file, err := os.Open(filepath.Join(f.dir, runPrefix+strconv.Itoa(id)+runSuffix))
+	if err != nil {
+		return false
+	}
+	defer file.Close()
+	return syscall.Flock(int(file.Fd()), syscall.LOCK_SH|syscall.LOCK_NB) != nil
+}
+
+// Exchange tells the others what this process holds, and gives what those
+// that run hold together, and whether there are none.
+func (f *Files) Exchange(own Usage) (others Usage, alone bool) {
+	f.run.WriteAt(fmt.Appendf(nil, "%10d %10d\n", own.Clients, own.Backends), 0)
+	names, err := filepath.Glob(filepath.Join(f.dir, runPrefix+"*"+runSuffix))
+	if err != nil {
+		return Usage{}, true
+	}
+	alone = true
+	for _, name := range names[:min(len(names), maxRuns)] {
+		number := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(name), runPrefix), runSuffix)
+		id, err := strconv.Atoi(number)
+		if err != nil || id == f.id {
+			continue
+		}
+		if !f.runs(id) {
+			os.Remove(name) // its process is dead
+			continue
+		}
+		alone = false
+		var u Usage
+		if raw, err := os.ReadFile(name); err == nil {
+			fmt.Sscanf(string(raw), "%d %d", &u.Clients, &u.Backends)
+		}
+		others.Clients += max(0, u.Clients)
+		others.Backends += max(0, u.Backends)
+	}
+	return others, alone
+}
+
+// Follow exchanges usage until ctx ends: held tells what this process holds,
+// set takes how much of the node's full it may hold from now on.
+func (f *Files) Follow(ctx context.Context, full Usage, held func() Usage, set func(most Usage, alone bool)) {
+	tick := time.NewTicker(exchangeEvery)
+	defer tick.Stop()
+	for {
+		others, alone := f.Exchange(held())
+		set(Usage{Clients: handoff.Share(full.Clients, others.Clients, alone),
+			Backends: handoff.Share(full.Backends, others.Backends, alone)}, alone)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/handover/state.go
@@ -0,0 +1,65 @@
+package handover
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+
+	"barrowscale/handoff"
+)
+
+// MaxState bounds a state's text: a list of some 20,000 servers.
+const MaxState = 8 << 20
+
+const magic = "ivylock-state"
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Encode gives a state's text: a line with the form's version, the length and
+// the checksum (CRC-32C) of what follows, and that in JSON.
+func Encode(s *handoff.State) ([]byte, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	if len(body) > MaxState {
+		return nil, fmt.Errorf("state: %d bytes are over the bound of %d", len(body), MaxState)
+	}
+	head := fmt.Sprintf("%s %d %d %08x\n", magic, handoff.Version, len(body), crc32.Checksum(body, castagnoli))
+	return append([]byte(head), body...), nil
+}
+
+// Decode reads a state's text. It believes nothing that is cut short, changed,
+// too long or of another form.
+func Decode(raw []byte) (*handoff.State, error) {
+	line, body, whole := bytes.Cut(raw, []byte{'\n'})
+	if !whole || len(line) > 64 {
+		return nil, errors.New("state: no head")
+	}
+	var name string
+	var version, length int
+	var sum uint32
+	if n, err := fmt.Sscanf(string(line), "%s %d %d %x", &name, &version, &length, &sum); n != 4 || err != nil || name != magic {
+		return nil, errors.New("state: a foreign file")
+	}
+	if version != handoff.Version {
+		return nil, fmt.Errorf("state: form %d is not known here (%d is)", version, handoff.Version)
+	}
+	if length != len(body) || length > MaxState {
+		return nil, fmt.Errorf("state: %d bytes of %d", len(body), length)
+	}
+	if crc32.Checksum(body, castagnoli) != sum {
+		return nil, errors.New("state: the checksum does not match")
+	}
+	s := &handoff.State{}
+	if err := json.Unmarshal(body, s); err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	if s.Version != version || s.Epoch == 0 || s.Epoch > math.MaxUint64/2 {
+		return nil, errors.New("state: bad version or epoch")
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/node/carry.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"errors"
+	"log"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/handoff"
+	"barrowscale/internal/discovery"
+	"barrowscale/internal/handover"
+	"barrowscale/maintenance"
+)
+
+// keepInterval is how old what a next process learns may be; what the list or
+// an operator says is kept at once.
+const keepInterval = 500 * time.Millisecond
+
+// Keeper keeps what the process that takes over from this one must know.
+// internal/handover has one.
+type Keeper interface {
+	// Store keeps a state; handover.Files says what the results mean.
+	Store(*handoff.State) (newer *handoff.State, err error)
+	// Speaks tells whether this process speaks for the node.
+	Speaks() error
+}
+
+// TakeOver begins from what an earlier process of this node left, if found is
+// not nil, and keeps with k what the next one must know. It comes before Run.
+func (n *Node) TakeOver(found *handoff.State, k Keeper) {
+	n.keeper, n.keep = k, make(chan *handoff.State, 1)
+	words, measured := handoff.Takes(found, n.cfg.Name, n.now())
+	if !words {
+		return
+	}
+	n.byHand = maintenance.New(found.Maintenance)
+	if len(found.List) > 0 && found.Generation >= n.cfg.Known.Generation {
+		list := discovery.List{Generation: found.Generation, Reset: true}
+		for _, e := range found.List {
+			list.Instances = append(list.Instances, discovery.Entry(e))
+		}
+		n.cfg.Known, n.version = list, list.Generation
+	}
+	if !measured {
+		return
+	}
+	servers := map[balance.ServerID]balance.LearnedServer{}
+	for _, l := range found.Servers {
+		servers[n.idOf(l.InstanceID)] = l.LearnedServer
+	}
+	n.module.Restore(n.now(), found.Fleet, servers)
+}
+
+// state is what the next process must know, as of now.
+func (n *Node) state() *handoff.State {
+	s := &handoff.State{At: n.now(), Generation: n.version, Maintenance: n.byHand.Records()}
+	for _, e := range n.listed {
+		s.List = append(s.List, handoff.Entry(e))
+	}
+	fleet, servers := n.module.Learned()
+	s.Fleet = fleet
+	for id, l := range servers {
+		if b := n.servers[id]; b != nil && !b.Gone {
+			s.Servers = append(s.Servers, handoff.Learned{InstanceID: b.Name, LearnedServer: l})
+		}
+	}
+	return s
+}
+
+// keepAll writes what the loop wants kept, until the loop has ended.
+func (n *Node) keepAll() {
+	for {
+		select {
+		case s := <-n.keep:
+			if err := n.store(s); err != nil && !errors.Is(err, handover.ErrTakenOver) {
+				log.Printf("not kept for a next process: %v", err)
+			}
+		case <-n.done:
+			return
+		}
+	}
+}
+
+// store keeps a state. Where a newer process has spoken for the node its words
+// hold here too.
+func (n *Node) store(s *handoff.State) error {
+	newer, err := n.keeper.Store(s)
+	if newer != nil {
+		n.post(adopt{newer})
+	}
+	return err
+}
+
+// adopt takes over the words that operators gave to a newer process.
+func (n *Node) adopt(s *handoff.State) {
+	n.byHand = maintenance.New(s.Maintenance)
+	for name := range n.listed {
+		n.byHand.Listed(name, true)
+	}
+	n.again()
+}
--- /dev/null
+++ b/internal/node/carry_test.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/handoff"
+	"barrowscale/internal/discovery"
+	"barrowscale/internal/handover"
+	"barrowscale/maintenance"
+)
+
+// fakeKeeper holds the state in memory.
+type fakeKeeper struct {
+	kept  *handoff.State
+	newer *handoff.State
+	err   error
+}
+
+func (k *fakeKeeper) Store(s *handoff.State) (*handoff.State, error) {
+	if k.err == nil {
+		k.kept = s
+	}
+	return k.newer, k.err
+}
+func (k *fakeKeeper) Speaks() error { return k.err }
+
+// hear runs one turn of the loop by hand.
+func hear(n *Node, id string, out bool) error {
+	w := word{id, out, make(chan heard, 1)}
+	n.maintain(w)
+	return (<-w.answer).err
+}
+
+func TestOutByHandHoldsOverListsAndTheNextProcess(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	n := New(cfg)
+	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	closed := func(n *Node, name string) bool { b := n.servers[n.ids[name]]; return b == nil || b.Closed.Load() }
+	if err := hear(n, "nobody", true); !errors.Is(err, maintenance.ErrUnknown) {
+		t.Errorf("an id that nobody has: %v", err)
+	}
+	for _, name := range []string{"s-0", "s-1", "s-0"} { // the last server too, and one twice
+		if err := hear(n, name, true); err != nil || !closed(n, name) {
+			t.Fatalf("%s: %v", name, err)
+		}
+	}
+	if n.figures.OutOfRotation.Load() != 2 || n.figures.Registry.Load() != 2 {
+		t.Errorf("the figures say\n%s", n.figures.Text())
+	}
+	up := func(id string) discovery.Entry {
+		return discovery.Entry{InstanceID: id, HostPort: "127.0.0.1:2", Lifecycle: "up", StartedAtMs: time.Now().UnixMilli()}
+	}
+	n.follow(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 8, Instances: []discovery.Entry{up("s-1")}}})
+	n.follow(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 9, Instances: []discovery.Entry{up("s-0"), up("s-1")}}})
+	if !closed(n, "s-0") || !closed(n, "s-1") {
+		t.Error("the list overruled the operators")
+	}
+	s := n.state()
+	s.Version, s.Node = handoff.Version, cfg.Name
+
+	next := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"))
+	next.TakeOver(s, &fakeKeeper{})
+	if next.version != 9 {
+		t.Errorf("it goes on from list %d", next.version)
+	}
+	next.follow(discovery.News{Kind: balance.ListCached, List: next.cfg.Known})
+	if !closed(next, "s-0") || !closed(next, "s-1") {
+		t.Error("the next process forgot the operators' words")
+	}
+	if err := hear(next, "s-0", false); err != nil || closed(next, "s-0") || !closed(next, "s-1") {
+		t.Errorf("one back at the next process: %v", err)
+	}
+	_, servers := next.module.Learned()
+	if !servers[next.ids["s-0"]].Cold {
+		t.Error("the server that came back counts as warm")
+	}
+}
+
+// What was drained at the old process just before stays drained at the new one,
+// and what was cold stays cold with an empty budget.
+func TestDrainsAndColdServersAreTakenOver(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	n := New(cfg)
+	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	started := time.Now().Add(-time.Second).UnixMilli()
+	n.follow(discovery.News{Kind: balance.ListChanges, List: discovery.List{Generation: 8, Instances: []discovery.Entry{
+		{InstanceID: "s-0", HostPort: "127.0.0.1:2", Lifecycle: "draining"},
+		{InstanceID: "s-1", HostPort: "127.0.0.1:3", Lifecycle: "up", StartedAtMs: started}}}})
+	s := n.state()
+	s.Version, s.Node = handoff.Version, cfg.Name
+	next := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"))
+	next.TakeOver(s, &fakeKeeper{})
+	next.follow(discovery.News{Kind: balance.ListCached, List: next.cfg.Known})
+	if b := next.servers[next.ids["s-0"]]; !b.Closed.Load() {
+		t.Error("the drain was forgotten")
+	}
+	_, servers := next.module.Learned()
+	got := servers[next.ids["s-1"]]
+	if want := time.Duration(started) * time.Millisecond; !got.Cold || got.ColdSince != want {
+		t.Errorf("cold %v since %v, want %v", got.Cold, got.ColdSince, want)
+	}
+}
+
+func TestWordsGoToTheProcessThatSpeaks(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	n := New(cfg)
+	k := &fakeKeeper{}
+	n.TakeOver(nil, k)
+	ctx, stop := context.WithCancel(context.Background())
+	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	go n.loop(ctx)
+	if err := n.Maintain(ctx, "s-0", true); err != nil || k.kept == nil || len(k.kept.Maintenance) != 1 {
+		t.Errorf("it said yes (%v) with %+v kept", err, k.kept)
+	}
+	k.err = handover.ErrTakenOver
+	if err := n.Maintain(ctx, "s-0", false); !errors.Is(err, handover.ErrTakenOver) {
+		t.Errorf("after a newer process took over: %v", err)
+	}
+	k.err, k.newer = nil, &handoff.State{Maintenance: []maintenance.Record{{ID: "s-1", Out: true}}}
+	if err := n.store(&handoff.State{}); err != nil { // the newer one died
+		t.Fatal(err)
+	}
+	// The loop hears the next word after what was posted before it was asked.
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && len(n.events) > 0; time.Sleep(time.Millisecond) {
+	}
+	if err := n.Maintain(ctx, "nobody", true); !errors.Is(err, maintenance.ErrUnknown) {
+		t.Errorf("an id that nobody has: %v", err)
+	}
+	stop()
+	<-n.done
+	if n.byHand.Out("s-0") || !n.byHand.Out("s-1") {
+		t.Error("the newer process's words do not hold")
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -125,8 +125,8 @@
 	return reservedSockets
 }
 
-// backendSockets is the part of the descriptors that connections to backends
+// BackendSockets is the part of the descriptors that connections to backends
 // may take, ClientSockets that of clients, which are more: each request at a
 // backend has its client's connection, and clients keep idle ones too.
-func (c *Config) backendSockets() int { return (c.Sockets - c.reserved()) * 3 / 8 }
-func (c *Config) ClientSockets() int  { return c.Sockets - c.reserved() - c.backendSockets() }
+func (c *Config) BackendSockets() int { return (c.Sockets - c.reserved()) * 3 / 8 }
+func (c *Config) ClientSockets() int  { return c.Sockets - c.reserved() - c.BackendSockets() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/handoff"
 	"barrowscale/internal/backend"
 	"barrowscale/internal/discovery"
 	"barrowscale/internal/figures"
@@ -58,6 +59,9 @@
 	figures  *figures.Set
 	listed   map[string]discovery.Entry // the list as discovery told it
 	byHand   *maintenance.Table
+	keeper   Keeper               // nil: nobody takes over
+	keep     chan *handoff.State  // the newest that is to be kept
+	keepAt   time.Time            // of the last one
 	outcome  balance.AttemptEnded // the last one, kept from call to call: no garbage
 }
 
@@ -85,6 +89,7 @@
 	}
 	failAll struct{}
 	reload  struct{ discovery string }
+	adopt   struct{ *handoff.State } // a newer process's, whose words hold
 )
 
 // New makes a node from its configuration. Its servers come from discovery.
@@ -94,7 +99,7 @@
 		requests: map[balance.RequestID]*Request{}, servers: map[balance.ServerID]*backend.Server{},
 		words: make(chan word), listed: map[string]discovery.Entry{}, byHand: maintenance.New(nil), figures: figures.New(classNames(cfg.Settings)),
 		ids: map[string]balance.ServerID{}, version: cfg.Known.Generation,
-		pool: backend.NewPool(cfg.backendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)}
+		pool: backend.NewPool(cfg.BackendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)}
 	n.source = n.discover(cfg.Discovery)
 	return n
 }
@@ -118,9 +123,12 @@
 		log.Printf("%s takes datagrams on %s", n.cfg.Name, n.peers.conn.LocalAddr())
 		go n.peers.receive(n.post)
 	}
-	n.post(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
+	n.follow(discovery.News{Kind: balance.ListCached, List: n.cfg.Known}) // before the first word of an operator
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	go n.loop(loopCtx)
+	if n.keeper != nil {
+		go n.keepAll()
+	}
 	n.ready.Store(true)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
@@ -172,13 +180,13 @@
 	for {
 		select {
 		case w := <-n.words: // ahead of all that waits in the other queue
-			w.answer <- n.maintain(w)
+			n.maintain(w)
 			continue
 		default:
 		}
 		select {
 		case w := <-n.words:
-			w.answer <- n.maintain(w)
+			n.maintain(w)
 		case <-look.C:
 			n.look()
 		case e := <-n.events:
@@ -211,6 +219,8 @@
 		if e.From == nil || e.From == n.source { // guards against news of an address that was left
 			n.follow(e)
 		}
+	case adopt:
+		n.adopt(e.State)
 	case reload:
 		n.move(e.discovery)
 	case failAll:
@@ -329,6 +339,7 @@
 	for _, b := range n.servers {
 		n.drop(b)
 	}
+	n.keepAt = time.Time{} // what the list says is kept at once
 	n.look()
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -62,7 +62,7 @@
 	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if c, err := LoadConfig(path); err != nil || c.backendSockets()+c.ClientSockets()+reservedSockets != c.Sockets {
+	if c, err := LoadConfig(path); err != nil || c.BackendSockets()+c.ClientSockets()+c.reserved() != c.Sockets {
 		t.Errorf("the good one: %v, %v", c, err)
 	}
 }
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/handoff"
+	"barrowscale/internal/backend"
 	"barrowscale/internal/discovery"
 	"barrowscale/internal/figures"
 )
@@ -17,7 +19,13 @@
 type word struct {
 	id     string
 	out    bool
-	answer chan error
+	answer chan heard
+}
+
+// heard is what the loop made of a word.
+type heard struct {
+	state *handoff.State // after it
+	err   error
 }
 
 func classNames(s balance.Settings) []string {
@@ -37,41 +45,61 @@
 // Count gives the figures themselves, for fronts.
 func (n *Node) Count() *figures.Set { return n.figures }
 
+// Backends gives the pool of connections to servers.
+func (n *Node) Backends() *backend.Pool { return n.pool }
+
 // Maintain takes a server out of use by hand, or uses it again. Once it has
-// returned nothing new is written to one that was taken out. A word is heard
-// before all requests that wait.
+// returned nothing new is written to one that was taken out, and the process
+// that takes over from this one knows. A word is heard before all requests
+// that wait.
 func (n *Node) Maintain(ctx context.Context, id string, out bool) error {
-	w := word{id, out, make(chan error, 1)}
+	if n.keeper != nil {
+		if err := n.keeper.Speaks(); err != nil {
+			return err
+		}
+	}
+	w := word{id, out, make(chan heard, 1)}
 	select {
 	case n.words <- w:
-		return <-w.answer // the loop has it: this is a matter of microseconds
 	case <-n.done:
+		return errBusy
 	case <-ctx.Done():
+		return errBusy
+	}
+	h := <-w.answer // the loop has it: this is a matter of microseconds
+	if h.err != nil || n.keeper == nil {
+		return h.err
 	}
-	return errBusy
+	return n.store(h.state)
 }
 
-// maintain is the loop's side of Maintain. The module gets the whole list
-// anew, in the form of one that was held before: it is no answer of discovery.
-func (n *Node) maintain(w word) error {
-	var err error
+// maintain is the loop's side of Maintain.
+func (n *Node) maintain(w word) {
+	var h heard
 	if w.out {
-		err = n.byHand.Enter(w.id, n.now(), time.Duration(n.listed[w.id].StartedAtMs)*time.Millisecond)
+		h.err = n.byHand.Enter(w.id, n.now(), time.Duration(n.listed[w.id].StartedAtMs)*time.Millisecond)
 	} else {
-		err = n.byHand.Exit(w.id, n.now())
+		h.err = n.byHand.Exit(w.id, n.now())
 	}
-	if err != nil {
-		return err
+	if h.err == nil {
+		n.again()
+		h.state = n.state()
 	}
+	w.answer <- h
+}
+
+// again tells the module the whole list anew, in the form of one that was held
+// before: it is no answer of discovery.
+func (n *Node) again() {
 	entries := make([]discovery.Entry, 0, len(n.listed))
 	for _, e := range n.listed {
 		entries = append(entries, e)
 	}
 	n.apply(balance.ListCached, entries)
-	return nil
 }
 
-// look publishes what only the loop knows.
+// look publishes what only the loop knows, and has it kept for a process that
+// takes over.
 func (n *Node) look() {
 	avoided := 0
 	for name := range n.listed {
@@ -81,4 +109,13 @@
 	}
 	n.figures.Registry.Store(int64(len(n.listed)))
 	n.figures.OutOfRotation.Store(int64(avoided))
+	if n.keeper == nil || time.Since(n.keepAt) < keepInterval {
+		return
+	}
+	n.keepAt = time.Now()
+	select {
+	case <-n.keep: // an older one that has not been written yet
+	default:
+	}
+	n.keep <- n.state()
 }
