Pass large bodies through in pieces, both ways, in every framing of HTTP/1.1

An answer over 64 KiB is begun with its first bytes (StreamStarted), read no faster than the client reads, and cut off, never ended well, if the server breaks. A Content-Length beside chunks is refused, chunks end the connection. Not taken: files in $TMPDIR, which count as memory.

--- a/balance/api.go
+++ b/balance/api.go
@@ -235,8 +235,9 @@
 		Elapsed time.Duration
 		Code    OutcomeCode
 		Report  *Report // nil if none came
+		Spent   bool    // the request's body is used up: it can not be sent again
 	}
-	// StreamStarted says that a streamed answer has begun.
+	// StreamStarted says that an answer which is passed on in pieces has begun.
 	StreamStarted struct {
 		ID      RequestID
 		Attempt int
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -235,9 +235,7 @@
 	case OK:
 		m.blame(s)
 		s.rate, s.rateAt, s.unanswered = s.rate*decay(m.now-s.rateAt, rateTau)+1/rateTau, m.now, 0
-		if !r.started {
-			m.learn(s, r.class, e.Elapsed)
-		}
+		m.learn(s, r.class, e.Elapsed)
 		if s.strikes = 0; s.suspect {
 			s.suspect = false
 			m.subset()
@@ -304,7 +302,7 @@
 
 // maySend holds every rule on sending; each send passes it.
 func (m *Module) maySend(r *request, s *server) bool {
-	if r.done || r.started || m.now >= r.deadline || len(r.attempts) >= max(1, m.set.MaxAttempts) ||
+	if r.done || r.started || r.unheld || m.now >= r.deadline || len(r.attempts) >= max(1, m.set.MaxAttempts) ||
 		s.State != Ready || r.out >= 2 || r.out > 0 && !m.set.MayOverlap {
 		return false
 	}
@@ -478,16 +476,23 @@
 	a := r.attempts[e.Attempt]
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
-	a.server.n--
+	r.unheld = r.unheld || e.Spent
+	if !a.begun {
+		a.server.n--
+	}
 	m.drop(a.server)
 	m.reported(a.server, e.Report)
 	m.learnUnit(a, r.class, e)
-	m.judge(a.server, r, e)
+	if !a.begun || e.Code != OK {
+		m.judge(a.server, r, e)
+	}
 	switch {
 	case r.done && r.out == 0:
 		delete(m.requests, r.id)
 	case e.Over && !r.done:
 		m.close(r)
+	case !r.done && r.out == 0 && r.unheld:
+		m.finish(r)
 	case !r.done && r.out == 0:
 		m.again(r, a.mayRun || m.crowd && e.Code == Full)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -68,6 +68,7 @@
 	load                   float64 // that the server reported last before it was sent; -1: not known
 	say                    Sending
 	ended, mayRun, stopped bool // mayRun: out, or ended without proof that it never ran
+	begun                  bool // its answer is being passed on
 }
 
 type request struct {
@@ -80,6 +81,7 @@
 	choice                         [2]*server // asked before it is sent
 	heldAt                         Time
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
+	unheld                         bool // its body is used up: it can not be sent again
 }
 
 type tenant struct {
@@ -321,11 +323,17 @@
 	return max(0, c.Deadline-e.Patience)
 }
 
+// started takes the beginning of an answer that is passed on in pieces for its answer: what is left is the
+// client's pace, not the server's work.
 func (m *Module) started(e StreamStarted) {
-	if r := m.requests[e.ID]; r != nil && e.Attempt >= 0 && e.Attempt < len(r.attempts) {
-		r.started = true
-		m.learn(r.attempts[e.Attempt].server, r.class, e.Elapsed)
+	r := m.requests[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.started || r.attempts[e.Attempt].ended {
+		return
 	}
+	a := r.attempts[e.Attempt]
+	m.judge(a.server, r, &AttemptEnded{Elapsed: e.Elapsed, Code: OK})
+	r.started, a.begun = true, true
+	a.server.n--
 }
 
 // fresh tells whether a server's report says what it holds now.
--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -76,7 +76,7 @@
 			reload(n)
 		}
 	}()
-	f := front.New(n, listener, cfg.Settings.Classes, cfg.ClientSockets())
+	f := front.New(n, listener, cfg.Settings.Classes, cfg.ClientSockets(), cfg.BodyRoom())
 	f.Shared = inherited
 	if shared != nil {
 		full := handover.Usage{Clients: cfg.ClientSockets(), Backends: cfg.BackendSockets()}
--- /dev/null
+++ b/internal/backend/exchange.go
@@ -0,0 +1,243 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/internal/bounded"
+)
+
+const (
+	probeTimeout = 400 * time.Millisecond // for the answer, once the connection is up
+	stallTime    = 5 * time.Second        // in which a backend must take a piece of a body that is passed on
+)
+
+// Result is how an exchange with a server ended.
+type Result struct {
+	Code   balance.OutcomeCode
+	Body   []byte          // of a 200 that was read whole
+	Report *balance.Report // nil if none came
+}
+
+// Call is one message to a server. All but Request may be nil.
+type Call struct {
+	// Request is sent once. Its body may come from elsewhere in pieces, and
+	// need not be whole when the sending begins.
+	Request *http.Request
+	// MayWrite is asked just before the first byte: guards against sending to
+	// a backend that has begun to drain, or for a request that is over, while
+	// the connection came up.
+	MayWrite func() bool
+	// Wrote is called once the last byte is written: from then on it may run.
+	Wrote func()
+	// Begun is called with a 200 that is too long to be held. Whoever takes it
+	// reads it to its end and then calls its Done; until then the exchange
+	// goes on.
+	Begun func(*Stream)
+}
+
+// Stream is an answer that is passed on in pieces.
+type Stream struct {
+	Start  []byte // read already
+	Length int64  // of all; -1: not known before it ends
+	answer *bounded.Answer
+	ended  chan error
+}
+
+// Read reads what comes after Start. The error is io.EOF at the answer's
+// proper end and nothing else.
+func (s *Stream) Read(b []byte) (int, error) { return s.answer.Read(b) }
+
+// Done tells how the passing on ended: nil if all of it has been read, else
+// what kept it from that. It is called once.
+func (s *Stream) Done(err error) { s.ended <- err }
+
+// ErrUnread is for Done: the client takes no more, through no fault of the
+// backend.
+var ErrUnread = errors.New("the client takes no more")
+
+// Exchange sends one message once and reads the answer, within ctx. If ctx is
+// cancelled with the cause context.DeadlineExceeded it has timed out.
+func (p *Pool) Exchange(ctx context.Context, b *Server, call Call) Result {
+	c, addr, startedAt, ok := p.take(b)
+	if !ok {
+		return Result{Code: balance.Moot} // no descriptor left: no fault of the backend
+	}
+	if c == nil {
+		d := net.Dialer{Timeout: p.connectTimeout}
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			p.drop(nil)
+			if called(ctx) {
+				return Result{Code: balance.Moot}
+			}
+			return Result{Code: balance.ConnectFailed}
+		}
+		c = &conn{Conn: nc, r: bounded.NewReader(nc), addr: addr, startedAt: startedAt}
+	}
+	if call.MayWrite != nil && !call.MayWrite() {
+		p.put(b, c)
+		return Result{Code: balance.Moot}
+	}
+	unwatch := context.AfterFunc(ctx, c.r.Stop)
+	res, keep := c.roundTrip(call)
+	if !unwatch() {
+		keep = false
+	}
+	if keep {
+		p.put(b, c)
+	} else {
+		p.drop(c)
+	}
+	switch {
+	case res.Code == balance.Reset && called(ctx):
+		res.Code = balance.Cancelled
+	case res.Code == balance.Reset && ctx.Err() != nil:
+		res.Code = balance.TimedOut
+	case res.Code == balance.ConnectFailed && called(ctx):
+		res.Code = balance.Moot // called off before it was wholly written: no fault of the backend
+	}
+	return res
+}
+
+// called tells that an exchange was called off, and did not time out.
+func called(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
+// roundTrip writes the request, in one piece where it is whole, and reads the
+// answer.
+func (c *conn) roundTrip(call Call) (res Result, keep bool) {
+	if err := c.write(call.Request); err != nil {
+		if b, is := call.Request.Body.(*elsewhere); is && b.failed {
+			return Result{Code: balance.Moot}, false // the body did not come: no fault of the backend
+		}
+		return Result{Code: balance.ConnectFailed}, false // its last byte was never written: it has not run
+	}
+	if call.Wrote != nil {
+		call.Wrote()
+	}
+	a, err := c.r.Answer(call.Request)
+	if errors.Is(err, bounded.ErrSpoilt) {
+		return Result{Code: balance.ServerError}, false // the backend works, so it is not taken for dead
+	}
+	if err != nil {
+		return Result{Code: balance.Reset}, false
+	}
+	res.Body, res.Report = a.Start, ParseReport(a.Header.Get("Server-Load"))
+	switch {
+	case a.StatusCode == http.StatusOK && a.Whole:
+		res.Code = balance.OK
+	case a.StatusCode == http.StatusOK && call.Begun != nil:
+		s := &Stream{Start: a.Start, Length: a.Length, answer: a, ended: make(chan error, 1)}
+		call.Begun(s)
+		err := <-s.ended
+		switch {
+		case err == nil:
+			res.Code = balance.OK
+		case errors.Is(err, ErrUnread):
+			return Result{Code: balance.Cancelled}, false
+		default:
+			return Result{Code: balance.Reset}, false
+		}
+	case (a.StatusCode == http.StatusServiceUnavailable || a.StatusCode == http.StatusGatewayTimeout) &&
+		a.Header.Get("Not-Started") == "1":
+		res.Code = balance.Full
+	default:
+		res.Code = balance.ServerError
+	}
+	return res, a.Whole && !a.Close && c.r.Clean() || res.Code == balance.OK && !a.Close && c.r.Clean()
+}
+
+// whole is a body that is all there.
+type whole struct{ *bytes.Reader }
+
+func (whole) Close() error { return nil }
+
+// elsewhere is a body that is read as it is sent.
+type elsewhere struct {
+	io.Reader
+	failed bool // it broke off
+}
+
+func (e *elsewhere) Read(b []byte) (int, error) {
+	n, err := e.Reader.Read(b)
+	e.failed = e.failed || err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
+
+func (*elsewhere) Close() error { return nil }
+
+// write sends a request. One whose body is whole goes in one piece, so that it
+// is certain what an error means; of another one the last byte is written last.
+func (c *conn) write(req *http.Request) error {
+	if _, is := req.Body.(whole); !is && req.Body != nil && req.Body != http.NoBody {
+		err := req.Write(pieces{c})
+		c.SetWriteDeadline(time.Time{})
+		return err
+	}
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return err
+	}
+	if n, err := c.Write(out.Bytes()); err != nil && n < out.Len() {
+		return err
+	}
+	return nil
+}
+
+// pieces writes to a backend that must go on reading.
+type pieces struct{ *conn }
+
+func (p pieces) Write(b []byte) (int, error) {
+	p.SetWriteDeadline(time.Now().Add(stallTime))
+	if p.r.Stopped() { // guards against a Stop that came just before
+		p.SetWriteDeadline(time.Unix(1, 0))
+	}
+	return p.conn.Write(b)
+}
+
+// Probe asks a backend for its load.
+func (p *Pool) Probe(b *Server) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), p.connectTimeout+probeTimeout)
+	defer cancel()
+	res := p.Exchange(ctx, b, Call{Request: NewRequest(http.MethodGet, "/metrics/load", nil),
+		MayWrite: func() bool { return !b.Closed.Load() }})
+	if res.Code == balance.OK {
+		res.Report = ParseReport(string(res.Body))
+	}
+	return res
+}
+
+// NewRequest makes a message for a backend, with a body that is whole. Only
+// what is set here goes out.
+func NewRequest(method, uri string, body []byte) *http.Request {
+	req := newRequest(method, uri)
+	if method == http.MethodPost {
+		req.Body, req.ContentLength = whole{bytes.NewReader(body)}, int64(len(body))
+		if len(body) == 0 {
+			req.Body = http.NoBody
+		}
+	}
+	return req
+}
+
+// NewStreamed makes one whose body is read as it is sent; its length is -1 if
+// it is not known before the end.
+func NewStreamed(method, uri string, body io.Reader, length int64) *http.Request {
+	req := newRequest(method, uri)
+	req.Body, req.ContentLength = &elsewhere{Reader: body}, length
+	return req
+}
+
+func newRequest(method, uri string) *http.Request {
+	return &http.Request{Method: method, Host: "service.internal", URL: &url.URL{Opaque: uri},
+		Header: http.Header{"User-Agent": {""}}}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,13 +4,8 @@
 package backend
 
 import (
-	"bytes"
-	"context"
 	"errors"
-	"io"
 	"net"
-	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -21,8 +16,7 @@
 )
 
 const (
-	idleMargin   = time.Second            // an idle connection is closed this long before the backend may close it
-	probeTimeout = 400 * time.Millisecond // for the answer, once the connection is up
+	idleMargin = time.Second // an idle connection is closed this long before the backend may close it
 )
 
 // Server is one server. Its owner, a single goroutine, writes it; idle
@@ -225,111 +219,3 @@
 	})
 	return err == nil && quiet
 }
-
-// Result is how an exchange with a server ended.
-type Result struct {
-	Code   balance.OutcomeCode
-	Body   []byte          // of a 200
-	Report *balance.Report // nil if none came
-}
-
-// Exchange sends one message once and reads the answer, within ctx. mayWrite
-// is asked just before the first byte: guards against sending to a backend
-// that has begun to drain, or for a request that is over, while the
-// connection came up. wrote is called once the last byte is written.
-func (p *Pool) Exchange(ctx context.Context, b *Server, req *http.Request, mayWrite func() bool, wrote func()) Result {
-	c, addr, startedAt, ok := p.take(b)
-	if !ok {
-		return Result{Code: balance.Moot} // no descriptor left: no fault of the backend
-	}
-	if c == nil {
-		d := net.Dialer{Timeout: p.connectTimeout}
-		nc, err := d.DialContext(ctx, "tcp", addr)
-		if err != nil {
-			p.drop(nil)
-			if errors.Is(ctx.Err(), context.Canceled) {
-				return Result{Code: balance.Moot}
-			}
-			return Result{Code: balance.ConnectFailed}
-		}
-		c = &conn{Conn: nc, r: bounded.NewReader(nc), addr: addr, startedAt: startedAt}
-	}
-	if !mayWrite() {
-		p.put(b, c)
-		return Result{Code: balance.Moot}
-	}
-	unwatch := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	res, keep := c.roundTrip(req, wrote)
-	if !unwatch() {
-		keep = false
-	}
-	if keep {
-		p.put(b, c)
-	} else {
-		p.drop(c)
-	}
-	switch cancelled := errors.Is(ctx.Err(), context.Canceled); {
-	case res.Code == balance.Reset && cancelled:
-		res.Code = balance.Cancelled
-	case res.Code == balance.Reset && ctx.Err() != nil:
-		res.Code = balance.TimedOut
-	case res.Code == balance.ConnectFailed && cancelled:
-		res.Code = balance.Moot // called off before it was wholly written: no fault of the backend
-	}
-	return res
-}
-
-// roundTrip writes the request in one piece and reads the answer whole.
-func (c *conn) roundTrip(req *http.Request, wrote func()) (res Result, keep bool) {
-	var out bytes.Buffer
-	if err := req.Write(&out); err != nil {
-		return Result{Code: balance.ConnectFailed}, false
-	}
-	if n, err := c.Write(out.Bytes()); err != nil && n < out.Len() {
-		return Result{Code: balance.ConnectFailed}, false // its last byte was never written: it has not run
-	}
-	wrote()
-	resp, body, err := c.r.Answer(req)
-	if errors.Is(err, bounded.ErrSpoilt) {
-		return Result{Code: balance.ServerError}, false // the backend works, so it is not taken for dead
-	}
-	if err != nil {
-		return Result{Code: balance.Reset}, false
-	}
-	res.Body, res.Report = body, ParseReport(resp.Header.Get("Server-Load"))
-	switch {
-	case resp.StatusCode == http.StatusOK:
-		res.Code = balance.OK
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("Not-Started") == "1":
-		res.Code = balance.Full
-	default:
-		res.Code = balance.ServerError
-	}
-	return res, !resp.Close && c.r.Clean()
-}
-
-// Probe asks a backend for its load.
-func (p *Pool) Probe(b *Server) Result {
-	ctx, cancel := context.WithTimeout(context.Background(), p.connectTimeout+probeTimeout)
-	defer cancel()
-	req := NewRequest(http.MethodGet, "/metrics/load", nil)
-	res := p.Exchange(ctx, b, req, func() bool { return !b.Closed.Load() }, func() {})
-	if res.Code == balance.OK {
-		res.Report = ParseReport(string(res.Body))
-	}
-	return res
-}
-
-// NewRequest makes a message for a backend. Only what is set here goes out.
-func NewRequest(method, uri string, body []byte) *http.Request {
-	req := &http.Request{Method: method, Host: "service.internal", URL: &url.URL{Opaque: uri},
-		Header: http.Header{"User-Agent": {""}}}
-	if method == http.MethodPost {
-		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
-		if len(body) == 0 {
-			req.Body = http.NoBody
-		}
-	}
-	return req
-}
--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -6,20 +6,29 @@
 	"bufio"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	// MaxBody is the most that a body holds, in either direction (protocol page).
+	// MaxBody is the most of a body that is held for as long as the request is
+	// open. Longer ones pass through in pieces (protocol and days pages).
 	MaxBody = 64 << 10
+	// MaxLength is the most that a body holds, in either direction: twice what
+	// occurs (days page).
+	MaxLength = 64 << 20
 	// MaxHead is the most that a client's head holds.
 	MaxHead = 8 << 10
-	// MaxAnswer is what is read of an answer at most, with head and framing.
-	MaxAnswer = 2 * MaxBody
+	// maxStart is what is read of an answer at most before it is passed on: its
+	// head, 1xx answers ahead of it, MaxBody and the framing of small chunks.
+	maxStart = 16 * MaxBody
 
-	answerTime = 500 * time.Millisecond // for an answer, once its first byte has come: backends send them whole
+	answerTime = 500 * time.Millisecond // from one piece of an answer's start to the next: backends send them whole
+	restTime   = 10 * time.Second       // the same in what is passed on: a backend that stopped
 	maxInterim = 8                      // 1xx answers ahead of the answer
 )
 
@@ -28,76 +37,150 @@
 
 // Reader reads answers from a connection.
 type Reader struct {
-	conn  net.Conn
-	limit io.LimitedReader // what may still be read: guards against an answer without end
-	r     *bufio.Reader
+	conn    net.Conn
+	limit   io.LimitedReader // what may still be read: guards against an answer without end
+	r       *bufio.Reader
+	pause   time.Duration // the longest wait for the next piece; 0: no bound
+	stopped atomic.Bool   // Stop was called
 }
 
-// NewReader makes one; nothing else may read from the connection.
+// NewReader makes one; nothing else may read from the connection or set its
+// read deadline.
 func NewReader(c net.Conn) *Reader {
-	r := &Reader{conn: c, limit: io.LimitedReader{R: c}}
+	r := &Reader{conn: c}
+	r.limit.R = pieces{r}
 	r.r = bufio.NewReader(&r.limit)
 	return r
 }
 
+// pieces reads from the connection, each piece within the pause.
+type pieces struct{ *Reader }
+
+func (p pieces) Read(b []byte) (int, error) {
+	if p.pause > 0 {
+		p.conn.SetReadDeadline(time.Now().Add(p.pause))
+		if p.stopped.Load() { // guards against a Stop that came just before
+			p.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+	return p.conn.Read(b)
+}
+
+// Stop ends a read that waits, and all later ones. It may be called from
+// another goroutine.
+func (r *Reader) Stop() {
+	r.stopped.Store(true)
+	r.conn.SetDeadline(time.Unix(1, 0))
+}
+
+// Stopped tells whether Stop was called.
+func (r *Reader) Stopped() bool { return r.stopped.Load() }
+
 // Clean tells that nothing has been read past the last answer.
 func (r *Reader) Clean() bool { return r.r.Buffered() == 0 }
 
-// Answer reads one answer whole, past the 1xx ones ahead of it. Once the first
-// byte is there the rest has 0.5 s: guards against one that is cut short, or
-// noise, on a connection that stays open. The error is ErrSpoilt if something
-// came that is no whole answer, else that of the connection.
-func (r *Reader) Answer(req *http.Request) (*http.Response, []byte, error) {
-	r.limit.N = MaxAnswer
+// Answer is an answer, whole or begun.
+type Answer struct {
+	*http.Response
+	Start  []byte // the body's first part; all of it if Whole
+	Whole  bool
+	Length int64 // of the whole body; -1: not known before it ends
+	from   *Reader
+}
+
+// Answer reads one answer, past the 1xx ones ahead of it: all of one of up to
+// MaxBody, the start of a longer one. Once the first byte is there each piece
+// has 0.5 s: guards against one that is cut short, or noise, on a connection
+// that stays open. The error is ErrSpoilt if something came that is no answer,
+// else that of the connection.
+func (r *Reader) Answer(req *http.Request) (*Answer, error) {
+	r.limit.N, r.pause = maxStart, 0
 	if _, err := r.r.Peek(1); err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	r.pause = answerTime
+	a, err := r.parse(req)
+	r.pause = 0
+	if err == nil {
+		r.conn.SetReadDeadline(time.Time{})
+		if r.stopped.Load() {
+			r.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+		return a, nil
 	}
-	end := time.Now().Add(answerTime)
-	r.conn.SetReadDeadline(end)
-	resp, body, err := r.parse(req)
-	r.conn.SetReadDeadline(time.Time{})
 	var broken *net.OpError
 	switch {
-	case err == nil:
-		return resp, body, nil
 	case errors.As(err, &broken):
-		if broken.Timeout() && !time.Now().Before(end) {
-			return nil, nil, ErrSpoilt
+		if broken.Timeout() && !r.stopped.Load() {
+			return nil, ErrSpoilt
 		}
-		return nil, nil, err // broken off, or called off
+		return nil, err // broken off, or called off
 	case (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) && r.limit.N > 0:
-		return nil, nil, err // broken off
+		return nil, err // broken off
 	}
-	return nil, nil, ErrSpoilt
+	return nil, ErrSpoilt
 }
 
 // parse does not wait for more than it takes to see that something is no
 // answer.
-func (r *Reader) parse(req *http.Request) (*http.Response, []byte, error) {
+func (r *Reader) parse(req *http.Request) (*Answer, error) {
 	for range maxInterim + 1 {
 		const version = "HTTP/1."
 		for n := 1; n <= len(version); n++ {
 			if start, err := r.r.Peek(n); err != nil {
-				return nil, nil, err
+				return nil, err
 			} else if start[n-1] != version[n-1] {
-				return nil, nil, ErrSpoilt
+				return nil, ErrSpoilt
 			}
 		}
 		resp, err := http.ReadResponse(r.r, req)
 		if err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if resp.ContentLength > MaxBody || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			return nil, nil, ErrSpoilt // too long, or of unknown length
+		a := &Answer{Response: resp, Length: resp.ContentLength, from: r}
+		if a.Length > MaxLength {
+			return nil, ErrSpoilt
+		}
+		if a.Length < 0 && len(resp.TransferEncoding) == 0 && !slices.Contains(resp.Header.Values("Connection"), "close") {
+			return nil, ErrSpoilt // it ends with the connection, but does not say so: it may as well be cut short
+		}
+		if a.Length > MaxBody {
+			a.Start = make([]byte, 4096) // its first bytes are what counts: they are not held back for more
+			n, err := resp.Body.Read(a.Start)
+			if a.Start = a.Start[:n]; n == 0 && err != nil {
+				return nil, err
+			}
+			return a, nil
+		}
+		if a.Length >= 0 {
+			a.Start = make([]byte, a.Length)
+			_, err = io.ReadFull(resp.Body, a.Start)
+			if err == nil {
+				_, err = resp.Body.Read(make([]byte, 1)) // takes in what ends the message
+			}
+		} else {
+			a.Start, err = io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+			if err == nil && len(a.Start) <= MaxBody {
+				err = io.EOF
+			}
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
-		if len(body) > MaxBody {
-			err = ErrSpoilt
+		if a.Whole = errors.Is(err, io.EOF); a.Whole || err == nil {
+			return a, nil
 		}
-		return resp, body, err
+		return nil, err
+	}
+	return nil, ErrSpoilt
+}
+
+// Read reads what comes after Start. A backend that stops for 10 s has failed.
+func (a *Answer) Read(b []byte) (int, error) {
+	a.from.limit.N, a.from.pause = math.MaxInt64, restTime
+	n, err := a.Body.Read(b)
+	if err != nil {
+		a.from.pause = 0
 	}
-	return nil, nil, ErrSpoilt
+	return n, err
 }
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -1,10 +1,13 @@
 package front
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"barrowscale/internal/bounded"
 )
 
 // clientConns keeps the number of client connections within its budget, so
@@ -39,7 +42,34 @@
 			return nil, net.ErrClosed
 		}
 	}
-	return c.Listener.Accept()
+	nc, err := c.Listener.Accept()
+	if tcp, is := nc.(*net.TCPConn); is {
+		return &client{TCPConn: tcp}, nil
+	}
+	return nc, err
+}
+
+// client is a client's connection. It keeps what was read since the last
+// request, as net/http forgets a Content-Length beside a Transfer-Encoding.
+type client struct {
+	*net.TCPConn
+	seen []byte // bounded.MaxHead at most
+}
+
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if room := bounded.MaxHead - len(c.seen); n > 0 && room > 0 {
+		c.seen = append(c.seen, b[:min(n, room)]...)
+	}
+	return n, err
+}
+
+// chunked tells whether the head that was read last is framed by chunks and by
+// nothing else.
+func (c *client) chunked() bool {
+	head, _, whole := bytes.Cut(c.seen, []byte("\r\n\r\n"))
+	head = bytes.ToLower(head)
+	return whole && bytes.Contains(head, []byte("\ntransfer-encoding:")) && !bytes.Contains(head, []byte("\ncontent-length"))
 }
 
 func (c *clientConns) Close() error {
@@ -116,6 +146,9 @@
 		c.open++
 		c.fresh[conn] = time.Now()
 	case http.StateIdle:
+		if cl, is := conn.(*client); is {
+			cl.seen = cl.seen[:0]
+		}
 		c.idle[conn] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/internal/backend"
 	"barrowscale/internal/bounded"
 	"barrowscale/internal/figures"
 	"barrowscale/internal/node"
@@ -24,9 +25,9 @@
 const (
 	maxPatience = time.Hour // a longer Request-Timeout-Ms is taken for a mistake
 
-	// An incomplete request is owed an error or a close within 3 s.
-	headTime   = 1200 * time.Millisecond // for the head, from the connection's start or the head's first byte
-	bodyTime   = 1000 * time.Millisecond // for the body, from the head's end
+	// A client may spend 2 s on a head; an incomplete request is owed an error
+	// or a close within 3 s.
+	headTime   = 2500 * time.Millisecond // for the head, from the connection's start or the head's first byte
 	clientIdle = 2 * time.Second         // between requests
 
 	acceptTime = 600 * time.Millisecond // after SIGTERM: new connections still come for a while
@@ -35,9 +36,12 @@
 	closeSlack = 300 * time.Millisecond // before the end of a drain: idle connections are closed from then on
 
 	freshSpare = 50 * time.Millisecond // a connection's first request comes right behind it
-	idleSpare  = 2 * time.Second       // no earlier may an idle connection be closed
-	roomBatch  = 16                    // how many are closed at once: a crowd comes by hundreds
-	roomPause  = 2 * time.Millisecond
+	pieceSize  = 32 << 10              // of an answer that is passed on
+	stallTime  = 5 * time.Second       // in which a client must take a piece
+
+	idleSpare = 2 * time.Second // no earlier may an idle connection be closed
+	roomBatch = 16              // how many are closed at once: a crowd comes by hundreds
+	roomPause = 2 * time.Millisecond
 )
 
 // HTTP is the front. Its methods may be called from several goroutines.
@@ -46,6 +50,7 @@
 	Shared     bool          // another process may take what waits at the listener
 	node       *node.Node
 	classes    map[string]balance.Class
+	bodies     *bodies
 	server     *http.Server
 	clients    *clientConns
 	draining   atomic.Bool
@@ -53,19 +58,22 @@
 }
 
 // New makes a front for a node, on a listener, with so many client
-// connections at most.
-func New(n *node.Node, listener net.Listener, classes []balance.Class, most int) *HTTP {
-	f := &HTTP{AcceptMore: acceptTime, node: n, classes: map[string]balance.Class{}, drained: make(chan struct{}), clients: newClientConns(most)}
+// connections at most and so many bytes for long bodies, all together.
+func New(n *node.Node, listener net.Listener, classes []balance.Class, most int, room int64) *HTTP {
+	f := &HTTP{AcceptMore: acceptTime, node: n, classes: map[string]balance.Class{}, drained: make(chan struct{}), bodies: newBodies(room), clients: newClientConns(most)}
 	for _, c := range classes {
 		f.classes[c.Name] = c
 	}
 	f.clients.Listener = listener
 	// ReadTimeout and WriteTimeout would cut off a request that has been taken.
 	f.server = &http.Server{Handler: f, MaxHeaderBytes: bounded.MaxHead, ReadHeaderTimeout: headTime, IdleTimeout: clientIdle,
-		ConnState: f.clients.track}
+		ConnState:   f.clients.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, clientKey{}, c) }}
 	return f
 }
 
+type clientKey struct{}
+
 // Serve takes requests until Drain.
 func (f *HTTP) Serve() error {
 	err := f.server.Serve(f.clients)
@@ -119,13 +127,20 @@
 
 // ServeHTTP takes one request and waits for its final answer.
 func (f *HTTP) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+	if !r.ProtoAtLeast(1, 1) {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "use HTTP/1.1", http.StatusBadRequest)
+		return
+	}
+	if len(r.TransferEncoding) > 0 {
 		// Guards against a request hidden in the body of another: net/http
 		// forgets a Content-Length beside a Transfer-Encoding, and what follows
 		// the chunks would be read as the next request.
 		w.Header().Set("Connection", "close")
-		http.Error(w, "a body is framed by Content-Length, in HTTP/1.1", http.StatusBadRequest)
-		return
+		if c, is := r.Context().Value(clientKey{}).(*client); !is || !c.chunked() {
+			http.Error(w, "a body is framed by Content-Length or by chunks, not by both", http.StatusBadRequest)
+			return
+		}
 	}
 	if r.URL.Path == "/up" {
 		w.Header().Set("Connection", "close") // guards against checks that stay and fill the budget
@@ -136,39 +151,120 @@
 	}
 	req, err := f.readRequest(w, r)
 	if err != nil {
-		status := http.StatusBadRequest
-		var b *badRequest
-		if errors.As(err, &b) {
-			status = b.status
-		}
-		w.Header().Set("Connection", "close") // nothing that follows it is believed
-		http.Error(w, err.Error(), status)
+		f.turnDown(w, err)
 		return
 	}
-	count := f.node.Count()
-	count.Open.Add(1)
-	defer count.Open.Add(-1)
-	answer := f.node.Take(req)
+	f.serve(w, r, req)
+}
+
+// serve hands a request to the node and gives its answer.
+func (f *HTTP) serve(w http.ResponseWriter, r *http.Request, req *taken) {
+	count, rest := f.node.Count(), req.body.rest
+	defer req.body.release()
+	if rest == nil {
+		count.Open.Add(1)
+		defer count.Open.Add(-1)
+	} else { // it is open from its last byte on
+		rest.whole = func() { count.Open.Add(1) }
+		rest.over = func() { count.Open.Add(-1) }
+		defer rest.end() // nothing reads from the connection once the handler has returned
+	}
+	answer := f.node.Take(req.Request)
+	var a node.Answer
 	select {
-	case a := <-answer:
-		count.Ended(req.Class, figures.OutcomeOf(a.Status))
-		if a.HoldOff > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
+	case a = <-answer:
+	case <-r.Context().Done():
+		f.node.Abandon(req.Request)
+		return
+	}
+	if rest != nil {
+		if err := rest.broken(); err != nil { // it was never taken, so it is not counted
+			f.turnDown(w, err)
+			return
 		}
-		if f.draining.Load() || f.clients.crowded() {
-			w.Header().Set("Connection", "close")
+	}
+	if a.HoldOff > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
+	}
+	early := rest != nil && !rest.complete()
+	if early || f.draining.Load() || f.clients.crowded() {
+		w.Header().Set("Connection", "close")
+	}
+	if a.Rest != nil {
+		f.passOn(w, req.Request, a)
+		return
+	}
+	count.Ended(req.Class, figures.OutcomeOf(a.Status))
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	w.Write(a.Body)
+	if early {
+		http.NewResponseController(w).Flush()
+		rest.discard()
+	}
+}
+
+// turnDown answers a request that the module has not heard of, or whose body
+// broke off.
+func (f *HTTP) turnDown(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	var b *badRequest
+	switch {
+	case errors.As(err, &b):
+		status = b.status
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
+	}
+	w.Header().Set("Connection", "close") // nothing that follows it is believed
+	http.Error(w, err.Error(), status)
+}
+
+// passOn passes an answer on in pieces, each as it comes. The backend is read
+// no faster than the client reads. If the backend breaks off the client's
+// connection is cut, so that it can tell that the answer is not whole.
+func (f *HTTP) passOn(w http.ResponseWriter, req *node.Request, a node.Answer) {
+	c, count := http.NewResponseController(w), f.node.Count()
+	if a.Rest.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.Rest.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	piece, buf := a.Body, make([]byte, pieceSize)
+	for {
+		c.SetWriteDeadline(time.Now().Add(stallTime))
+		_, err := w.Write(piece)
+		if err == nil {
+			err = c.Flush()
+		}
+		if err != nil {
+			a.Rest.Done(backend.ErrUnread)
+			panic(http.ErrAbortHandler)
+		}
+		n, err := a.Rest.Read(buf)
+		if piece = buf[:n]; n > 0 {
+			continue // an error comes again
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			a.Rest.Done(err)
+			count.Ended(req.Class, figures.Faulted)
+			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-		w.WriteHeader(a.Status)
-		w.Write(a.Body)
-	case <-r.Context().Done():
-		f.node.Abandon(req)
 	}
+	a.Rest.Done(nil)
+	count.Ended(req.Class, figures.Fulfilled)
+	c.SetWriteDeadline(time.Time{})
+}
+
+// taken is a request with its body as far as that was read.
+type taken struct {
+	*node.Request
+	body received
 }
 
 // readRequest checks a client's request against the protocol.
-func (f *HTTP) readRequest(w http.ResponseWriter, r *http.Request) (*node.Request, error) {
-	arrived := time.Now()
+func (f *HTTP) readRequest(w http.ResponseWriter, r *http.Request) (*taken, error) {
 	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key"} {
 		if len(r.Header.Values(name)) > 1 {
 			return nil, bad("%s stands there twice", name)
@@ -201,47 +297,31 @@
 	if err != nil || ms <= 0 || ms > maxPatience.Milliseconds() {
 		return nil, bad("bad Request-Timeout-Ms")
 	}
-	if r.ContentLength > bounded.MaxBody { // before any of it is read
-		return nil, &badRequest{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
-	}
-	body, err := readBody(w, r)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, &badRequest{http.StatusRequestTimeout, "the body did not come in time"}
+	if method == http.MethodGet && r.ContentLength != 0 {
+		return nil, bad("a GET has no body")
 	}
+	in, err := f.bodies.read(w, r)
 	if err != nil {
-		return nil, bad("body: %v", err)
-	}
-	if method == http.MethodGet && len(body) > 0 {
-		return nil, bad("a GET has no body")
+		return nil, fmt.Errorf("body: %w", err)
 	}
 	hint, err := strconv.ParseInt(r.Header.Get("Work-Hint"), 10, 64)
 	hasHint := err == nil && hint > 0 && hint <= maxPatience.Microseconds()
 	if !hasHint {
 		hint = 0
 	}
-	deadline := arrived.Add(time.Duration(ms) * time.Millisecond)
-	return &node.Request{
+	// A request's time counts from its last byte.
+	patience := time.Duration(ms) * time.Millisecond
+	deadline := time.Now().Add(patience)
+	req := &node.Request{
 		RequestArrived: balance.RequestArrived{ID: balance.RequestID(id), Class: class.Name,
 			Tenant: r.Header.Get("Tenant"), Key: r.URL.Query().Get("sid"), Patience: time.Until(deadline),
 			WorkHint: time.Duration(hint) * time.Microsecond, HasHint: hasHint,
 			Repeat: r.Header.Get("Client-Retry") == "1"},
-		Method: method, URI: r.RequestURI, Key: key, Body: body, Deadline: deadline,
-	}, nil
-}
-
-// readBody reads a body whose length is known, within bodyTime. What is wholly
-// taken is never cut off, so the time-out ends with it.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength <= 0 {
-		return nil, nil
-	}
-	c := http.NewResponseController(w)
-	if err := c.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
-		return nil, err
+		Method: method, URI: r.RequestURI, Key: key, Body: in.held, Deadline: deadline,
 	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, err
+	if in.rest != nil {
+		in.rest.patience = patience
+		req.Rest, req.Deadline = in.rest, deadline.Add(in.rest.longest())
 	}
-	return body, c.SetReadDeadline(time.Time{})
+	return &taken{req, in}, nil
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -16,6 +16,7 @@
 
 const (
 	reservedSockets = 24 // listeners, discovery, peers, standard streams, the runtime's own
+	bodyPart        = 8  // of the memory limit
 	leastSockets    = 2 * (reservedSockets + console.Sockets)
 )
 
@@ -130,3 +131,7 @@
 // backend has its client's connection, and clients keep idle ones too.
 func (c *Config) BackendSockets() int { return (c.Sockets - c.reserved()) * 3 / 8 }
 func (c *Config) ClientSockets() int  { return c.Sockets - c.reserved() - c.BackendSockets() }
+
+// BodyRoom is how many bytes clients' long bodies may take, all together,
+// beyond what each request may hold.
+func (c *Config) BodyRoom() int64 { return int64(c.MemoryMB) << 20 / bodyPart }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,8 +5,10 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"hash/fnv"
+	"io"
 	"log"
 	"net/http"
 	"strconv"
@@ -70,8 +72,9 @@
 	request *Request
 	number  int
 	server  *backend.Server
-	sentAt  time.Time
-	cancel  context.CancelFunc
+	sentAt  time.Time // the attempt's goroutine's
+	cancel  func()
+	timer   *time.Timer // ends it when its time is over
 }
 
 // What the loop is told, besides *Request, discovery.News and the module's own
@@ -83,6 +86,11 @@
 		backend.Result
 		elapsed time.Duration
 	}
+	attemptBegun struct {
+		*attempt
+		*backend.Stream
+		elapsed time.Duration
+	}
 	probeDone struct {
 		*backend.Server
 		balance.ProbeEnded
@@ -211,6 +219,8 @@
 		}
 	case attemptDone:
 		n.ended(e)
+	case attemptBegun:
+		n.begun(e)
 	case probeDone:
 		n.handle(e.ProbeEnded)
 		e.Server.Out--
@@ -257,13 +267,24 @@
 		n.finish(r, Answer{Status: http.StatusOK, Body: e.Body})
 	}
 	n.outcome = balance.AttemptEnded{ID: r.ID, Attempt: e.number, Server: e.server.ID, Over: r.over.Load(),
-		Elapsed: e.elapsed, Code: e.Code, Report: e.Report}
+		Elapsed: e.elapsed, Code: e.Code, Report: e.Report, Spent: r.spent.Load()}
 	n.handle(&n.outcome)
 	n.forget(r)
 	e.server.Out--
 	n.drop(e.server)
 }
 
+// begun passes on an answer that is too long to be held. From here on the
+// request has its final answer, and can not be tried again.
+func (n *Node) begun(e attemptBegun) {
+	r := e.request
+	if !n.finish(r, Answer{Status: http.StatusOK, Body: e.Start, Rest: e.Stream}) {
+		e.Stream.Done(backend.ErrUnread)
+		return
+	}
+	n.handle(balance.StreamStarted{ID: r.ID, Attempt: e.number, Server: e.server.ID, Elapsed: e.elapsed})
+}
+
 // finish gives the final answer unless there has been one.
 func (n *Node) finish(r *Request, a Answer) bool {
 	if !r.over.CompareAndSwap(false, true) {
@@ -418,29 +439,60 @@
 		return
 	}
 	a := &attempt{request: r, number: len(r.attempts), server: b, sentAt: time.Now()}
-	end := r.Deadline
-	if t := a.sentAt.Add(s.Timeout); s.Timeout != 0 && t.Before(end) {
-		end = t
+	timeout := time.Until(r.Deadline)
+	if s.Timeout != 0 {
+		timeout = min(timeout, s.Timeout)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	a.cancel = cancel
+	ctx, cancel := context.WithCancelCause(context.Background())
+	a.cancel = func() { cancel(context.Canceled) }
+	a.timer = time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
 	r.attempts = append(r.attempts, a)
 	r.out++
 	b.Out++
 	go func() {
-		defer cancel()
-		req := backend.NewRequest(r.Method, r.URI, r.Body)
-		req.Header.Set("Request-Id", string(r.ID))
-		if r.Key != "" {
-			req.Header.Set("Idempotency-Key", r.Key)
-		}
-		req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, time.Until(end).Milliseconds()), 10))
-		res := n.pool.Exchange(ctx, b, req, func() bool { return !b.Closed.Load() && !r.over.Load() && ctx.Err() == nil },
-			func() { n.figures.Relayed.Add(1) })
+		defer a.cancel()
+		defer a.timer.Stop()
+		res := n.attempt(ctx, a, timeout)
 		n.post(attemptDone{a, res, time.Since(a.sentAt)})
 	}()
 }
 
+// attempt sends a request once.
+func (n *Node) attempt(ctx context.Context, a *attempt, timeout time.Duration) backend.Result {
+	r, b := a.request, a.server
+	var req *http.Request
+	if r.Rest == nil {
+		req = backend.NewRequest(r.Method, r.URI, r.Body)
+	} else {
+		req = backend.NewStreamed(r.Method, r.URI, io.MultiReader(bytes.NewReader(r.Body), r.Rest), r.Rest.Length())
+	}
+	req.Header.Set("Request-Id", string(r.ID))
+	if r.Key != "" {
+		req.Header.Set("Idempotency-Key", r.Key)
+	}
+	req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
+	return n.pool.Exchange(ctx, b, backend.Call{
+		Request: req,
+		MayWrite: func() bool {
+			if b.Closed.Load() || r.over.Load() || ctx.Err() != nil {
+				return false
+			}
+			return r.Rest == nil || !r.spent.Swap(true) // guards against a second reader of what can be read once
+		},
+		Wrote: func() {
+			n.figures.Relayed.Add(1)
+			if r.Rest != nil { // its time runs from now on, and so does the server's
+				a.sentAt = time.Now()
+				a.timer.Reset(time.Until(r.Rest.Deadline()))
+			}
+		},
+		Begun: func(s *backend.Stream) {
+			a.timer.Stop() // what is passed on has all the time that its client takes
+			n.post(attemptBegun{a, s, time.Since(a.sentAt)})
+		},
+	})
+}
+
 func (n *Node) probe(p balance.Probe) {
 	b, sentAt := n.servers[p.Server], time.Now()
 	if b == nil {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"io"
 	"sync/atomic"
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/internal/backend"
 )
 
 // Request is one try of a client, from its arrival to its final answer. A
@@ -13,18 +15,32 @@
 	balance.RequestArrived
 	Method, URI, Key string // as they go on to a server; Key is the Idempotency-Key
 	Body             []byte
+	Rest             Rest // of a body that is not held: nil if Body is all
 	Deadline         time.Time
 	answer           chan Answer // holds the one final answer
 	over             atomic.Bool // has its final answer, or its client is gone: nothing more goes out
 	attempts         []*attempt  // the loop's
 	out              int         // the loop's
+	spent            atomic.Bool // an attempt has begun to read Rest
+}
+
+// Rest is what comes after the part of a body that is held. It can be read
+// once, so an attempt that has begun to read it is the request's last.
+type Rest interface {
+	io.Reader
+	// Length is that of the whole body; -1: not known before it ends.
+	Length() int64
+	// Deadline is when the client stops waiting: its time counts from the last
+	// byte. It is called once that has been read.
+	Deadline() time.Time
 }
 
 // Answer is the final answer to a client.
 type Answer struct {
 	Status  int // of HTTP: 200 served, 429 and 503 refused, any other failed
 	Body    []byte
-	HoldOff time.Duration // how long a refused client should wait; 0: no advice
+	Rest    *backend.Stream // of a 200 that is passed on in pieces: nil if Body is all
+	HoldOff time.Duration   // how long a refused client should wait; 0: no advice
 }
 
 // Front takes requests from clients and hands them to a node.
