Stop the old process from reading the newer one's state without end

Cause: adopting a newer process's words told the list anew, which is kept at once, which found the newer state again. An upload that broke off was also answered with net/http's empty 200 where it had cancelled the request's context for its own read time-out.

Change: words that are known are not adopted again; a request whose client is gone ends its connection, one whose body broke off gets 408. Tests for large bodies, framings, what a module does with a body that is used up, and what one carries over. Ruled out: the exchange of usage every 50 ms (0.1 per cent of a core) and the drain's wait.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -19,10 +19,10 @@
 
 	lingerTime = 2 * time.Second // for what still comes after an early answer
 
-	bodyPause = time.Second // for the next piece of a body
-	bodyGrace = time.Second // before the rate counts
-	bodyRate  = 32 << 10    // bytes a second, at least, on average after the grace
-	firstPart = 4 << 10     // what is set aside for a body of unknown length
+	bodyPause = time.Second     // for the next piece of a body
+	bodyGrace = 2 * time.Second // before the rate counts
+	bodyRate  = 32 << 10        // bytes a second, at least, on average after the grace
+	firstPart = 4 << 10         // what is set aside for a body of unknown length
 )
 
 var errTooLong = &badRequest{http.StatusRequestEntityTooLarge, "the body is too long"}
--- /dev/null
+++ b/internal/front/body_test.go
@@ -0,0 +1,268 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"barrowscale/internal/nodetest"
+)
+
+// noise gives n bytes that differ from place to place, without holding them.
+type noise struct{ left, at int64 }
+
+func (s *noise) Read(b []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(s.left, int64(len(b)))
+	for i := range b[:n] {
+		x := s.at + int64(i)
+		b[i] = byte(x ^ x>>8 ^ x>>16)
+	}
+	s.left, s.at = s.left-n, s.at+n
+	return int(n), nil
+}
+
+func sum(r io.Reader) string {
+	h := sha256.New()
+	io.Copy(h, r)
+	return fmt.Sprintf("%x", h.Sum(nil))
+}
+
+func (n *running) post(t *testing.T, id string, body io.Reader, length int64) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, n.url+"/order", io.NopCloser(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.ContentLength = length
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Request-Class", "order")
+	req.Header.Set("Request-Timeout-Ms", "9000")
+	return n.client.Do(req)
+}
+
+// Long bodies arrive unchanged both ways, whichever way they are framed, and
+// the node holds little of them.
+func TestLongBodiesPassThroughUnchanged(t *testing.T) {
+	const size, many = 8 << 20, 12
+	want := sum(&noise{left: size})
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if got := sum(r.Body); got != want {
+			http.Error(w, "spoilt", http.StatusInternalServerError)
+			return
+		}
+		if strings.HasPrefix(r.Header.Get("Request-Id"), "length") {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+		} else {
+			w.Header().Set("Trailer", "Sum")
+			defer w.Header().Set("Sum", want)
+		}
+		io.Copy(w, &noise{left: size})
+	}))
+	defer b.Close()
+	addr := b.Listener.Addr().String()
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), addr, addr, addr, addr, addr, addr)) // a new node sends 4 to each
+	var most atomic.Uint64
+	stop := make(chan bool)
+	go func() {
+		var m runtime.MemStats
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				runtime.ReadMemStats(&m)
+				most.Store(max(most.Load(), m.HeapAlloc))
+			}
+		}
+	}()
+	var all sync.WaitGroup
+	for i := range many {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			id, length := fmt.Sprint("length", i), int64(size)
+			if i%2 == 1 {
+				id, length = fmt.Sprint("chunks", i), -1
+			}
+			resp, err := n.post(t, id, &noise{left: size}, length)
+			if err != nil {
+				t.Errorf("%s: %v", id, err)
+				return
+			}
+			defer resp.Body.Close()
+			if got := sum(resp.Body); resp.StatusCode != 200 || got != want {
+				t.Errorf("%s: %d, spoilt: %v", id, resp.StatusCode, got != want)
+			}
+		}()
+	}
+	all.Wait()
+	close(stop)
+	if got := most.Load(); got > size*many/2 { // with what clients and the server hold
+		t.Errorf("%d MB in use while %d MB pass both ways", got>>20, size*many>>20)
+	}
+	if text := string(n.Figures()); !strings.Contains(text, fmt.Sprintf("app.operations.order.fulfilled:%d|c", many)) || !strings.Contains(text, "app.open_requests:0|g") {
+		t.Errorf("the figures say\n%s", text)
+	}
+}
+
+// An answer that breaks off after it has begun is cut off for the client too,
+// and the request is not tried again.
+func TestAnAnswerThatBreaksOffNeverEndsWell(t *testing.T) {
+	for name, head := range map[string]string{"length": "Content-Length: 8000000", "chunks": "Transfer-Encoding: chunked"} {
+		serve := func(c net.Conn, r *http.Request) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n", head)
+			if name == "chunks" {
+				fmt.Fprintf(c, "%x\r\n", 8000000)
+			}
+			c.Write(make([]byte, 300000))
+			return false
+		}
+		b, spare := nodetest.NewRawServer(t, serve), nodetest.NewRawServer(t, serve)
+		n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr, spare.Addr))
+		status, body, _, err := n.ask(context.Background(), "clip", "one", 5*time.Second)
+		if err == nil || status != 200 || len(body) > 300000 {
+			t.Errorf("%s: %d, %d bytes, %v", name, status, len(body), err)
+		}
+		if sent := b.Count() + spare.Count(); sent != 1 {
+			t.Errorf("%s: sent %d times", name, sent)
+		}
+		for end := time.Now().Add(nodetest.Patience); !strings.Contains(string(n.Figures()), "clip.faulted:1|c"); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: the figures say\n%s", name, n.Figures())
+			}
+		}
+	}
+}
+
+// A client that stops in the middle of a long body is told, and what it sent
+// never runs; neither does a body that is shorter than it said.
+func TestABodyThatBreaksOffNeverRuns(t *testing.T) {
+	b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.Reply(c, "200 OK", "") })
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
+	head := "POST /order HTTP/1.1\r\nHost: x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 9000\r\nRequest-Id: "
+	long := strings.Repeat("x", 500000)
+	for name, text := range map[string]string{
+		"long, with a length":   head + "a\r\nContent-Length: 1000000\r\n\r\n" + long,
+		"long, in chunks":       head + "b\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", len(long)) + long + "\r\n",
+		"short, in chunks":      head + "c\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"a chunk of 2^64":       head + "d\r\nTransfer-Encoding: chunked\r\n\r\n10000000000000000\r\nhello",
+		"a chunk of no number":  head + "e\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\nhello\r\n0\r\n\r\n",
+		"a chunk with no end":   head + "f\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhelloworld\r\n0\r\n\r\n",
+		"longer than allowed":   head + "g\r\nContent-Length: 100000000\r\n\r\n" + long,
+		"two kinds of encoding": head + "h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+	} {
+		answer := n.send(t, text)
+		if _, status, _ := strings.Cut(answer, " "); !strings.HasPrefix(status, "4") && !strings.HasPrefix(status, "5") {
+			t.Errorf("%s: got %.80q", name, answer)
+		}
+	}
+	if b.Count() != 0 {
+		t.Errorf("%d of them ran", b.Count())
+	}
+	if text := string(n.Figures()); !strings.Contains(text, "app.open_requests:0|g") || !strings.Contains(text, "app.relayed:0|c") {
+		t.Errorf("the figures say\n%s", text)
+	}
+}
+
+// Chunks with extensions and trailers, cut at every byte, and a request behind
+// a long one that ends with its connection.
+func TestEveryFramingIsRead(t *testing.T) {
+	got := make(chan string, 10)
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		raw, _ := io.ReadAll(r.Body)
+		got <- string(raw)
+	}))
+	defer b.Close()
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Listener.Addr().String()))
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	text := "POST /order HTTP/1.1\r\nHost: x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 9000\r\nRequest-Id: a\r\n" +
+		"Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5;name=\"a value\"\r\nhello\r\n1\r\n!\r\n0\r\nSum: 1\r\n\r\n"
+	go func() {
+		for i := range len(text) {
+			if _, err := c.Write([]byte{text[i]}); err != nil {
+				t.Errorf("byte %d: %v", i, err)
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	c.SetDeadline(time.Now().Add(nodetest.Patience))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Fatalf("got %+v, %v", resp, err)
+	}
+	if body := <-got; body != "hello!" {
+		t.Errorf("the backend got %q", body)
+	}
+	// Expect: 100-continue is answered before the body comes.
+	c, err = net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(nodetest.Patience))
+	io.WriteString(c, "POST /order HTTP/1.1\r\nHost: x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 9000\r\nRequest-Id: b\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	r := bufio.NewReader(c)
+	if line, err := r.ReadString('\n'); err != nil || !strings.Contains(line, "100") {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	r.ReadString('\n')
+	io.WriteString(c, "abc")
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 200 || <-got != "abc" {
+		t.Errorf("after 100: %v", err)
+	}
+}
+
+// A client that reads no more gives its server's connection back in time, and
+// holds up nobody.
+func TestAClientThatReadsNoMoreIsGivenUp(t *testing.T) {
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Request-Id") == "long" {
+			w.Header().Set("Content-Length", fmt.Sprint(60<<20))
+			io.Copy(w, &noise{left: 60 << 20})
+		}
+	}))
+	defer b.Close()
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Listener.Addr().String()))
+	req, _ := http.NewRequest(http.MethodGet, n.url+"/clip", nil)
+	req.Header.Set("Request-Id", "long")
+	req.Header.Set("Request-Class", "clip")
+	req.Header.Set("Request-Timeout-Ms", "1000")
+	resp, err := n.client.Do(req)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	defer resp.Body.Close()
+	for i := range 20 {
+		if status, _, _ := n.mustAsk(t, "order", fmt.Sprint(i), 5*time.Second); status != 200 {
+			t.Errorf("beside it: %d", status)
+		}
+	}
+	for end := time.Now().Add(nodetest.Patience); n.Backends().Open() > 1; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections to the server are still held", n.Backends().Open())
+		}
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil || errors.Is(err, io.EOF) {
+		t.Error("the answer ended well")
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -173,9 +173,13 @@
 	var a node.Answer
 	select {
 	case a = <-answer:
-	case <-r.Context().Done():
+	case <-r.Context().Done(): // the client is gone, or net/http waited for its body in vain
 		f.node.Abandon(req.Request)
-		return
+		if rest != nil && rest.broken() != nil {
+			f.turnDown(w, rest.broken())
+			return
+		}
+		panic(http.ErrAbortHandler) // guards against net/http's own answer, which would be an empty 200
 	}
 	if rest != nil {
 		if err := rest.broken(); err != nil { // it was never taken, so it is not counted
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log"
+	"slices"
 	"time"
 
 	"barrowscale/balance"
@@ -93,6 +94,9 @@
 
 // adopt takes over the words that operators gave to a newer process.
 func (n *Node) adopt(s *handoff.State) {
+	if slices.Equal(s.Maintenance, n.byHand.Records()) {
+		return // guards against a busy loop: what changes the list is kept at once, and so finds the newer state again
+	}
 	n.byHand = maintenance.New(s.Maintenance)
 	for name := range n.listed {
 		n.byHand.Listed(name, true)
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -136,3 +136,34 @@
 		t.Error("the newer process's words do not hold")
 	}
 }
+
+// Guards against an old process that is busy with nothing but reading, over
+// and over, what the newer one wrote.
+func TestFollowingANewerProcessIsNoBusyLoop(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2")
+	n := New(cfg)
+	k := &fakeKeeper{err: handover.ErrTakenOver, newer: &handoff.State{Maintenance: []maintenance.Record{{ID: "s-0", Out: true}}}}
+	n.TakeOver(nil, k)
+	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	turns := 0
+	for ; turns < 10; turns++ { // the loop and the goroutine that keeps, by turns
+		select {
+		case s := <-n.keep:
+			n.store(s)
+		default:
+		}
+		select {
+		case e := <-n.events:
+			n.take(e)
+			continue
+		default:
+		}
+		break
+	}
+	if turns > 3 {
+		t.Errorf("after %d turns it still goes on", turns)
+	}
+	if !n.byHand.Out("s-0") {
+		t.Error("the newer process's word does not hold")
+	}
+}
