Let tens of nodes go by their own counts: no probes for each request in a herd

Design: a node is one of a crowd only if the windows of its whole set hold less than a request (a thousand nodes), not from ten nodes at a server on. Not taken: probes shared among nodes, which is a membership of its own; ruled out: probes alone as the cause (without them, but with the crowd's other rules, 0.33 and 0.59).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -606,7 +606,11 @@
 		}
 	}
 	m.sharing = math.Max(1, float64(m.set.Nodes*len(m.near))/math.Max(1, float64(len(m.list)))/crowdAt)
-	m.crowd = m.sharing > 1
+	// Guards against probes for each request where the windows of a node's set still hold some: there its own
+	// counts tell enough, and tens of nodes that probe cost the servers more than they gain.
+	if m.crowd = m.sharing > 1 && startWindow*float64(len(m.near)) < float64(m.set.Nodes); !m.crowd {
+		m.sharing = 1
+	}
 }
 
 // ask keeps a subscription where the list must be asked for, spread at the start and backing off.
