Count a request at its server from its last byte on, not from its first

Design: a pending request (balance.RequestWhole tells its last byte) counts for the budget of a cold server at once, for crowding and silence only once it is whole. Not taken: to hold the request back until it is whole, which wants room for all of it.

--- a/balance/api.go
+++ b/balance/api.go
@@ -219,7 +219,10 @@
 		HasHint  bool
 		Repeat   bool // the client has tried before
 		Write    bool
+		Pending  bool // its body is still coming: a server works on it only from RequestWhole on
 	}
+	// RequestWhole says that the last byte of a Pending request has gone to its server.
+	RequestWhole struct{ ID RequestID }
 	// ListUpdate is news of the servers.
 	ListUpdate struct {
 		Kind    ListKind
@@ -263,6 +266,7 @@
 )
 
 func (RequestArrived) event()   {}
+func (RequestWhole) event()     {}
 func (ListUpdate) event()       {}
 func (AttemptEnded) event()     {}
 func (StreamStarted) event()    {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,6 +101,8 @@
 		m.ended(e)
 	case StreamStarted:
 		m.started(e)
+	case RequestWhole:
+		m.whole(e.ID)
 	case RequestAbandoned:
 		if r := m.requests[e.ID]; r != nil && !r.done {
 			m.close(r)
@@ -335,10 +337,9 @@
 	a := r.newAttempt()
 	a.server, a.sent, a.mayRun, a.load = s, m.now, true, m.loadOf(s)
 	r.out++
-	s.n++
 	s.tokens--
-	if s.unanswered++; s.unanswered == 1 {
-		s.muteSince = m.now
+	if !r.pending { // guards against servers that count as crowded by what slow clients still send
+		m.count(a)
 	}
 	if c := r.class; c.LateWorth == 0 && c.Aim > 0 && m.crowd {
 		timeout = max(m.set.MinTick, min(timeout, c.Aim-r.spent-(m.now-r.arrived)))
@@ -366,6 +367,7 @@
 	c := m.classOf(e.Class)
 	r := m.newRequest()
 	r.id, r.class, r.arrived, r.deadline = e.ID, c, m.now, m.now+e.Patience
+	r.pending = e.Pending
 	m.requests[e.ID], m.open = r, append(m.open, r)
 	r.spent = m.spentBefore(c, e)
 	t := m.tenants[e.Tenant] // over its tenant's share a request is worth little
@@ -477,9 +479,7 @@
 	a.ended, a.mayRun = true, e.Code != Full && e.Code != ConnectFailed && e.Code != Moot
 	r.out--
 	r.unheld = r.unheld || e.Spent
-	if !a.begun {
-		a.server.n--
-	}
+	a.uncount()
 	m.drop(a.server)
 	m.reported(a.server, e.Report)
 	m.learnUnit(a, r.class, e)
--- a/balance/state.go
+++ b/balance/state.go
@@ -68,6 +68,7 @@
 	load                   float64 // that the server reported last before it was sent; -1: not known
 	say                    Sending
 	ended, mayRun, stopped bool // mayRun: out, or ended without proof that it never ran
+	counted                bool // among the server's attempts in flight: the server works on it
 	begun                  bool // its answer is being passed on
 }
 
@@ -81,7 +82,7 @@
 	choice                         [2]*server // asked before it is sent
 	heldAt                         Time
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
-	unheld                         bool // its body is used up: it can not be sent again
+	unheld, pending                bool // its body is used up: it can not be sent again; it is still coming
 }
 
 type tenant struct {
@@ -333,7 +334,37 @@
 	a := r.attempts[e.Attempt]
 	m.judge(a.server, r, &AttemptEnded{Elapsed: e.Elapsed, Code: OK})
 	r.started, a.begun = true, true
-	a.server.n--
+	a.uncount()
+}
+
+// count takes an attempt in among those in flight at its server.
+func (m *Module) count(a *attempt) {
+	if s := a.server; !a.counted {
+		a.counted, a.sent = true, m.now
+		s.n++
+		if s.unanswered++; s.unanswered == 1 {
+			s.muteSince = m.now
+		}
+	}
+}
+
+func (a *attempt) uncount() {
+	if a.counted {
+		a.counted = false
+		a.server.n--
+	}
+}
+
+// whole takes the last byte of a request whose body was still coming.
+func (m *Module) whole(id RequestID) {
+	if r := m.requests[id]; r != nil && r.pending {
+		r.pending = false
+		for _, a := range r.attempts {
+			if !a.ended {
+				m.count(a)
+			}
+		}
+	}
 }
 
 // fresh tells whether a server's report says what it holds now.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -256,7 +256,7 @@
 		return
 	}
 	n.requests[r.ID] = r
-	r.Patience = time.Until(r.Deadline)
+	r.Patience, r.Pending = time.Until(r.Deadline), r.Rest != nil
 	n.handle(&r.RequestArrived)
 }
 
@@ -482,6 +482,7 @@
 		Wrote: func() {
 			n.figures.Relayed.Add(1)
 			if r.Rest != nil { // its time runs from now on, and so does the server's
+				n.post(balance.RequestWhole{ID: r.ID})
 				a.sentAt = time.Now()
 				a.timer.Reset(time.Until(r.Rest.Deadline()))
 			}
