Pass on answers that end with their connection

Traced to answers with neither a length nor chunks, which were taken for spoilt ones; the backends saw no error.

Change: such an answer is whole when its connection is closed, not reset, within 0.5 s of its last piece. Not taken: to believe only those that say 'Connection: close', as none does. Ruled out: time-outs and heads of 6 kB.

--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -9,7 +9,6 @@
 	"math"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -92,7 +91,8 @@
 // MaxBody, the start of a longer one. Once the first byte is there each piece
 // has 0.5 s: guards against one that is cut short, or noise, on a connection
 // that stays open. The error is ErrSpoilt if something came that is no answer,
-// else that of the connection.
+// else that of the connection. An answer with neither a length nor chunks is
+// whole when its connection is closed, and not reset, within that time.
 func (r *Reader) Answer(req *http.Request) (*Answer, error) {
 	r.limit.N, r.pause = maxStart, 0
 	if _, err := r.r.Peek(1); err != nil {
@@ -144,9 +144,6 @@
 		if a.Length > MaxLength {
 			return nil, ErrSpoilt
 		}
-		if a.Length < 0 && len(resp.TransferEncoding) == 0 && !slices.Contains(resp.Header.Values("Connection"), "close") {
-			return nil, ErrSpoilt // it ends with the connection, but does not say so: it may as well be cut short
-		}
 		if a.Length > MaxBody {
 			a.Start = make([]byte, 4096) // its first bytes are what counts: they are not held back for more
 			n, err := resp.Body.Read(a.Start)
--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -232,6 +232,38 @@
 	}
 }
 
+// Answers in every framing, cut at every byte, and an answer that ends with
+// its connection.
+func TestEveryFramingOfAnswersIsPassedOn(t *testing.T) {
+	note := "X-Note: " + strings.Repeat("n", 6000) + "\r\n"
+	for name, text := range map[string]string{
+		"length":         "HTTP/1.1 200 OK\r\n" + note + "Content-Length: 6\r\n\r\nhello!",
+		"chunks":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5;a=b\r\nhello\r\n1\r\n!\r\n0\r\nSum: 1\r\n\r\n",
+		"the end of all": "HTTP/1.1 200 OK\r\n\r\nhello!",
+		"1xx before":     "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello!",
+	} {
+		b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool {
+			for i := 0; i < len(text); i++ {
+				if text[i] == 'n' && i%100 != 0 { // the note goes by hundreds
+					end := min(len(text), i+99)
+					io.WriteString(c, text[i:end])
+					i = end - 1
+				} else {
+					c.Write([]byte{text[i]})
+				}
+				time.Sleep(100 * time.Microsecond)
+			}
+			return name != "the end of all"
+		})
+		n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
+		for i := range 2 {
+			if status, body, _ := n.mustAsk(t, "order", fmt.Sprint(i), 5*time.Second); status != 200 || body != "hello!" {
+				t.Errorf("%s: %d %q", name, status, body)
+			}
+		}
+	}
+}
+
 // A client that reads no more gives its server's connection back in time, and
 // holds up nobody.
 func TestAClientThatReadsNoMoreIsGivenUp(t *testing.T) {
