Look for unread bytes only on connections that are sockets

Change: only a client's socket is looked at.

Measured: internal/front passes under the race detector.

--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -125,7 +125,10 @@
 func closeLongest(silent map[net.Conn]time.Time, before time.Time) bool {
 	var longest net.Conn
 	for conn, since := range silent {
-		if since.Before(before) && bounded.Quiet(conn) {
+		if c, is := conn.(*client); is && !bounded.Quiet(c) {
+			continue
+		}
+		if since.Before(before) {
 			longest, before = conn, since
 		}
 	}
