--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 	openPart    = 0.8                    // of what this node can have open: the rest is for priority requests
 	holdPart    = 0.15                   // part of the aim a refused client is told to wait, jittered
 	askFirst    = 200 * time.Millisecond // s; wait before a list is asked for again; doubles
-	tierAsk     = 25 * time.Millisecond  // s; the least such wait for each node: all together ask 40 times a second
+	tierAsk     = 25 * time.Millisecond  // s; the least such wait a node: all ask 40 times a second
 	idlePart    = 1.2                    // of the least mean delay seen, that H lies above
 	inflowGain  = 0.3                    // weight of a period's arrivals in the smoothed ones
 	leastFlow   = 0.02                   // part of the arrivals that is let in at least: to learn how it goes
@@ -557,7 +557,8 @@
 
 func (m *Module) follow(e ListUpdate) {
 	if e.Kind == ListFailed {
-		m.subscribed, m.asking, m.askAt = false, false, m.now+m.jitter(max(m.askWait, time.Duration(m.set.Nodes)*tierAsk))
+		m.subscribed, m.asking = false, false
+		m.askAt = m.now + m.jitter(max(m.askWait, time.Duration(m.set.Nodes)*tierAsk))
 		m.askWait = min(2*m.askWait, max(askFirst, m.set.AskWithin/4))
 		return
 	}
