Leave no deadline of one answer on the connection for the next

Need: a connection kept after a long answer still had the read deadline of its last piece: a request on it more than 10 s later would have been cut off while the server worked, and have failed. Found on reading the path for its cost.

Change: the deadline is taken back at the end of each answer, and only where one was set; a test that remembers deadlines, and a benchmark of long bodies.

--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -41,6 +41,8 @@
 	r       *bufio.Reader
 	pause   time.Duration // the longest wait for the next piece; 0: no bound
 	stopped atomic.Bool   // Stop was called
+	armed   bool          // a read deadline is set
+	last    [1]byte       // for the read that ends a message
 }
 
 // NewReader makes one; nothing else may read from the connection or set its
@@ -57,6 +59,7 @@
 
 func (p pieces) Read(b []byte) (int, error) {
 	if p.pause > 0 {
+		p.armed = true
 		p.conn.SetReadDeadline(time.Now().Add(p.pause))
 		if p.stopped.Load() { // guards against a Stop that came just before
 			p.conn.SetReadDeadline(time.Unix(1, 0))
@@ -65,6 +68,17 @@
 	return p.conn.Read(b)
 }
 
+// disarm takes back the read deadline, if one is set.
+func (r *Reader) disarm() {
+	if r.armed {
+		r.armed = false
+		r.conn.SetReadDeadline(time.Time{})
+		if r.stopped.Load() {
+			r.conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
 // Stop ends a read that waits, and all later ones. It may be called from
 // another goroutine.
 func (r *Reader) Stop() {
@@ -105,10 +119,7 @@
 	r.pause = 0
 	if err == nil {
 		a.Began = began
-		r.conn.SetReadDeadline(time.Time{})
-		if r.stopped.Load() {
-			r.conn.SetReadDeadline(time.Unix(1, 0))
-		}
+		r.disarm()
 		return a, nil
 	}
 	var broken *net.OpError
@@ -159,7 +170,7 @@
 			a.Start = make([]byte, a.Length)
 			_, err = io.ReadFull(resp.Body, a.Start)
 			if err == nil {
-				_, err = resp.Body.Read(make([]byte, 1)) // takes in what ends the message
+				_, err = resp.Body.Read(r.last[:]) // takes in what ends the message
 			}
 		} else {
 			a.Start, err = io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
@@ -181,6 +192,7 @@
 	n, err := a.Body.Read(b)
 	if err != nil {
 		a.from.pause = 0
+		a.from.disarm() // guards against the next answer on this connection being timed by this one
 	}
 	return n, err
 }
--- a/internal/bounded/answer_test.go
+++ b/internal/bounded/answer_test.go
@@ -138,3 +138,40 @@
 		t.Errorf("after Stop: %v", err)
 	}
 }
+
+// deadlines remembers the read deadline that was set last.
+type deadlines struct {
+	net.Conn
+	last time.Time
+}
+
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.last = t
+	return d.Conn.SetReadDeadline(t)
+}
+
+// Guards against a connection that is kept with the deadline of an earlier
+// answer: the next one would be cut off by it, in the middle of its work.
+func TestNoDeadlineOutlivesItsAnswer(t *testing.T) {
+	for _, text := range answers[:6] {
+		ours, theirs := net.Pipe()
+		go func() {
+			for i := range 5 { // several reads, so that a deadline is set
+				io.WriteString(theirs, text[i*len(text)/5:(i+1)*len(text)/5])
+			}
+			theirs.Close()
+		}()
+		d := &deadlines{Conn: ours}
+		a, err := NewReader(d).Answer(nil)
+		if err == nil && !a.Whole {
+			if d.last.IsZero() == false {
+				t.Errorf("%.60q: a deadline is left after its start", text)
+			}
+			_, err = io.ReadAll(a)
+		}
+		if err == nil && !d.last.IsZero() {
+			t.Errorf("%.60q: a deadline is left", text)
+		}
+		ours.Close()
+	}
+}
--- a/internal/lab/perf/perf_test.go
+++ b/internal/lab/perf/perf_test.go
@@ -7,7 +7,9 @@
 	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -99,3 +101,40 @@
 		}
 	}
 }
+
+// BenchmarkLongBody has one answer of 32 MB after another pass through.
+func BenchmarkLongBody(b *testing.B) {
+	log.SetOutput(io.Discard)
+	const size = 32 << 20
+	piece := make([]byte, 64<<10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		for range size / len(piece) {
+			w.Write(piece)
+		}
+	}))
+	b.Cleanup(server.Close)
+	for name, start := range map[string]func(testing.TB, []string) string{"node": inNode, "reverseproxy": inReverseProxy} {
+		b.Run(name, func(b *testing.B) {
+			addr := start(b, []string{server.Listener.Addr().String()})
+			b.SetBytes(size)
+			for i := 0; b.Loop(); i++ {
+				req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/clip", nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				req.Header.Set("Request-Id", strconv.Itoa(i))
+				req.Header.Set("Request-Class", "clip")
+				req.Header.Set("Request-Timeout-Ms", "9000")
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+					b.Fatalf("%d bytes, %v", n, err)
+				}
+				resp.Body.Close()
+			}
+		})
+	}
+}
