--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -298,3 +298,83 @@
 		t.Error("the answer ended well")
 	}
 }
+
+// A server is taken out by hand: what it has in flight ends well, and nothing
+// that was chosen for it and is not yet written goes out after the yes.
+func TestTakingAServerOutEndsNothingAndSendsNothing(t *testing.T) {
+	arrived, release := make(chan bool, 10), make(chan bool)
+	b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool {
+		arrived <- true
+		<-release
+		return nodetest.Reply(c, "200 OK", "done")
+	})
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
+	got := make(chan error, 1)
+	go func() {
+		status, body, _, err := n.ask(context.Background(), "order", "one", 10*time.Second)
+		if err == nil && (status != 200 || body != "done") {
+			err = fmt.Errorf("%d %q", status, body)
+		}
+		got <- err
+	}()
+	<-arrived
+	if err := n.Maintain(context.Background(), "s-0", true); err != nil {
+		t.Fatal(err)
+	}
+	if status, _, _ := n.mustAsk(t, "order", "two", time.Second); status != http.StatusServiceUnavailable {
+		t.Errorf("with the only server out: %d", status)
+	}
+	close(release)
+	if err := <-got; err != nil {
+		t.Errorf("the one in flight: %v", err)
+	}
+	for end := time.Now().Add(nodetest.Patience); n.Backends().Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection to it is kept")
+		}
+	}
+	if err := n.Maintain(context.Background(), "s-0", false); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(nodetest.Patience); ; time.Sleep(20 * time.Millisecond) { // it is cold: a trickle
+		if status, _, _ := n.mustAsk(t, "clip", fmt.Sprint("back", time.Now().UnixNano()), time.Second); status == 200 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("it gets nothing after the word back")
+		}
+	}
+	if n := b.Count(); n != 2 {
+		t.Errorf("it got %d requests", n)
+	}
+}
+
+// A second request right behind a large one, on the same connection, gets its
+// own answer after the first one's.
+func TestARequestBehindALargeBodyGetsItsOwnAnswer(t *testing.T) {
+	b := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(w, "%s had %d", r.Header.Get("Request-Id"), n)
+	}))
+	defer b.Close()
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Listener.Addr().String()))
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(nodetest.Patience))
+	head := "POST /order HTTP/1.1\r\nHost: x\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 9000\r\n"
+	go io.WriteString(c, head+"Request-Id: a\r\nContent-Length: 700000\r\n\r\n"+strings.Repeat("x", 700000)+
+		head+"Request-Id: b\r\nContent-Length: 3\r\n\r\nabc")
+	r := bufio.NewReader(c)
+	for _, want := range []string{"a had 700000", "b had 3"} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if raw, _ := io.ReadAll(resp.Body); string(raw) != want {
+			t.Errorf("got %q, want %q", raw, want)
+		}
+	}
+}
