Keep an operator's word from being overwritten by a state queued before it

A state that was queued before a word could be written after it, and a process that took over just then forgot a word that was answered yes. A torn state set the epoch back to 1 beside an old process with a higher one, and both spoke for the node. The records of servers long back in use were never forgotten.

Measured: a test for each of the first two that fails without the change; the packages and the program's tests pass.

--- a/internal/handover/files.go
+++ b/internal/handover/files.go
@@ -150,8 +150,11 @@
 	}
 	found, why = f.read()
 	f.epoch = 1
-	if found != nil {
+	switch {
+	case found != nil:
 		f.epoch = found.Epoch + 1
+	case why != nil: // guards against an older process that runs, whose epoch can't be read: its own began earlier
+		f.epoch = uint64(time.Now().UnixMilli())
 	}
 	next := handoff.State{}
 	if found != nil {
--- a/internal/handover/files_test.go
+++ b/internal/handover/files_test.go
@@ -193,3 +193,19 @@
 		}
 	}
 }
+
+// A torn state beside an old process that runs: the new one speaks all the same.
+func TestATornStateDoesNotLeaveTwoSpeakers(t *testing.T) {
+	dir := t.TempDir()
+	old, next := process(t, dir), process(t, dir)
+	old.Take()
+	if err := os.WriteFile(filepath.Join(dir, stateName), []byte("torn"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := next.Take(); err == nil {
+		t.Error("a torn state was read")
+	}
+	if _, err := old.Store(example()); !errors.Is(err, ErrTakenOver) || next.Speaks() != nil {
+		t.Errorf("the old one still speaks: %v", err)
+	}
+}
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -85,13 +85,27 @@
 // store keeps a state. Where a newer process has spoken for the node its words
 // hold here too.
 func (n *Node) store(s *handoff.State) error {
-	newer, err := n.keeper.Store(s)
+	newer, err := n.keepNow(s)
 	if newer != nil {
 		n.post(adopt{newer})
 	}
 	return err
 }
 
+// keepNow keeps a state, unless a later one is kept already: guards against a
+// word that was answered yes and is then overwritten by what was queued before.
+func (n *Node) keepNow(s *handoff.State) (newer *handoff.State, err error) {
+	n.keptMu.Lock()
+	defer n.keptMu.Unlock()
+	if s.At < n.kept {
+		return nil, nil
+	}
+	if newer, err = n.keeper.Store(s); newer == nil && err == nil {
+		n.kept = s.At
+	}
+	return newer, err
+}
+
 // adopt takes over the words that operators gave to a newer process.
 func (n *Node) adopt(s *handoff.State) {
 	if slices.Equal(s.Maintenance, n.byHand.Records()) {
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -121,7 +121,7 @@
 		t.Errorf("after a newer process took over: %v", err)
 	}
 	k.err, k.newer = nil, &handoff.State{Maintenance: []maintenance.Record{{ID: "s-1", Out: true}}}
-	if err := n.store(&handoff.State{}); err != nil { // the newer one died
+	if err := n.store(&handoff.State{At: n.now()}); err != nil { // the newer one died
 		t.Fatal(err)
 	}
 	// The loop hears the next word after what was posted before it was asked.
@@ -167,3 +167,20 @@
 		t.Error("the newer process's word does not hold")
 	}
 }
+
+// Guards against a word that was answered yes and is overwritten by a state
+// that was queued before it.
+func TestAnOlderStateNeverReplacesANewerOne(t *testing.T) {
+	n := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2"))
+	k := &fakeKeeper{}
+	n.TakeOver(nil, k)
+	older, newer := &handoff.State{At: 1}, &handoff.State{At: 2}
+	for _, s := range []*handoff.State{newer, older} {
+		if err := n.store(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if k.kept != newer {
+		t.Error("the older state was kept")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"log"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,8 @@
 	keeper   Keeper               // nil: nobody takes over
 	keep     chan *handoff.State  // the newest that is to be kept
 	keepAt   time.Time            // of the last one
+	keptMu   sync.Mutex           // held while a state is written
+	kept     balance.Time         // when the one that was written last was made
 	outcome  balance.AttemptEnded // the last one, kept from call to call: no garbage
 }
 
@@ -201,6 +204,7 @@
 			n.take(e)
 		case <-reap.C:
 			n.pool.Reap()
+			n.byHand.Forget(n.now(), n.cfg.Settings.ColdTime)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -65,7 +65,7 @@
 		if h.err != nil || n.keeper == nil {
 			return h.err
 		}
-		newer, err := n.keeper.Store(h.state)
+		newer, err := n.keepNow(h.state)
 		if newer == nil {
 			return err
 		}
