Tell waits among nodes by few probes, and shed by them, where nodes are hundreds

Ruled out: the threshold of `crowd` itself (at 100 nodes as at 120), probes that fail, the connection limit (1,151 of 20,000 connects). Lines: route/release (probes), survey (aimed, mean) of balance.go.

Each server is used by 12 nodes exactly, by rendezvous from the server's side, and by nodes that send much; idle connections are kept 3 s there. No request is held for a probe any more.

--- a/balance/api.go
+++ b/balance/api.go
@@ -321,6 +321,8 @@
 	FetchList struct{}
 	// CloseIdle closes this node's idle connections to a server.
 	CloseIdle struct{ Server ServerID }
+	// KeepIdle says for how long idle connections are kept from now on, at most.
+	KeepIdle struct{ For time.Duration }
 	// Log is a line for the operators.
 	Log struct{ Line string }
 )
@@ -335,4 +337,5 @@
 func (Subscribe) action()     {}
 func (FetchList) action()     {}
 func (CloseIdle) action()     {}
+func (KeepIdle) action()      {}
 func (Log) action()           {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,6 +7,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"barrowscale/readings"
 )
 
 const (
@@ -43,11 +45,16 @@
 	idlePart    = 1.2                    // of the least mean delay seen, that H lies above
 	inflowGain  = 0.3                    // weight of a period's arrivals in the smoothed ones
 	leastFlow   = 0.02                   // part of the arrivals that is let in at least: to learn how it goes
-	setConns    = 40.0                   // connections of all nodes at a server: each costs it work
+	setConns    = 12                     // nodes that use a server: each costs it connections
+	fewConns    = 40                     // the same where nodes are too few to be a crowd
+	crowdNodes  = 90                     // nodes from which on a node's own count says nothing of a server
 	setLeast    = 4                      // servers a node uses, at least: two choices and two spare
-	crowdAt     = 10.0                   // nodes at a server from which on a node's own count there says nothing
-	probeWait   = 50 * time.Millisecond  // s; a probe that takes longer tells that the server is busy
+	setSpare    = 1.5                    // the same for each request that it has out, smoothed
+	busyGain    = 0.1                    // weight of a period in that
+	crowdAt     = 10.0                   // nodes at a server that see enough of it to go by their own samples
+	crowdIdle   = 3 * time.Second        // s; how long an idle connection is kept there
 	crowdDepth  = 3.2                    // n at a server whose delay is aimPart of an aim, there
+	drawn       = 2                      // servers looked at for a request where all hear the same
 )
 
 // NextMode is the paper's hysteresis, at its exact edges.
@@ -110,7 +117,8 @@
 		}
 	case ProbeEnded:
 		m.probed(e)
-		m.release()
+	case MessageReceived:
+		m.heard(e)
 	case TimerFired, *TimerFired:
 		m.tick()
 		m.do(m.timer)
@@ -137,12 +145,18 @@
 	}
 	m.fleetRate = rate / math.Max(1, count) // in a crowd few answers must do: their mean stands for all servers
 	m.learned = m.answers > 0 && m.answers >= learnCount*float64(len(m.near))/m.sharing
+	if m.told() {
+		m.govern()
+	}
 	if !m.learned {
 		return
 	}
 	grow := 1 + tickEvery.Seconds()/memoryTau
 	m.peak = math.Max(m.peak/grow, m.fleetRate)
-	m.aimed, m.base = math.Inf(1), m.mean
+	m.base = m.mean
+	if !m.told() {
+		m.aimed = math.Inf(1)
+	}
 	base, latency := 0.0, 0.0
 	for _, c := range m.order {
 		expected := m.mean * c.relative
@@ -153,11 +167,11 @@
 			base, latency = base+c.base, latency+expected
 			m.base = m.mean * base / latency
 		}
-		if c.count > 0 && c.Aim > 0 {
+		if c.count > 0 && c.Aim > 0 && !m.told() {
 			m.aimed = math.Min(m.aimed, m.mean*aimPart*c.Aim.Seconds()/expected)
 		}
 	}
-	if m.crowd { // guards against shedding at idle servers where their plain work takes much of an aim
+	if m.crowd && !m.told() { // guards against shedding at idle servers whose plain work takes much of an aim
 		m.floor = math.Min(m.floor*grow, m.mean)
 		m.aimed = math.Max(m.aimed, idlePart*math.Min(m.floor, m.aimed))
 	}
@@ -185,6 +199,8 @@
 func (m *Module) modeOf(s *server) Mode {
 	if h := math.Floor(m.high(s) + s.dither); !m.crowd {
 		s.mode = NextMode(s.mode, s.n, lowPart*h, h, highPart*h+1)
+	} else if m.told() && m.aimed > 0 {
+		s.mode = NextMode(s.mode, 4*m.waitAt(s)/m.aimed, waitLow, waitHigh, waitBlock)
 	} else if m.learned {
 		s.mode = NextMode(s.mode, crowdDepth*m.expected(s)/m.aimed, 3, 5, 9)
 	}
@@ -221,6 +237,12 @@
 		m.flow = math.Max(leastFlow*in, math.Min(1.5*in, m.flow)*(1.1-0.3*m.crowded/n))
 		m.q1, m.q2 = ShedSplit(math.Max(0, 1-m.flow/in), m.in1, m.in2)
 	}
+	if m.told() {
+		m.q1, m.q2 = ShedSplit(m.shed, m.in1, m.in2)
+	}
+	if m.busy += busyGain * (float64(len(m.requests)) - m.busy); m.crowd {
+		m.subset()
+	}
 	m.n1, m.n2, m.crowded, m.fill, m.ticks, m.periodAt = 0, 0, 0, 0, 0, m.now
 	for _, s := range m.near {
 		s.dither = m.random()
@@ -237,6 +259,7 @@
 		m.impose(s, Blocking)
 	case OK:
 		m.blame(s)
+		s.failing -= latencyGain * s.failing
 		s.rate, s.rateAt, s.unanswered = s.rate*decay(m.now-s.rateAt, rateTau)+1/rateTau, m.now, 0
 		m.learn(s, r.class, e.Elapsed)
 		if s.strikes = 0; s.suspect {
@@ -253,6 +276,7 @@
 		} else {
 			m.weigh(s, r.class, max(e.Elapsed, r.class.Aim))
 		}
+		s.failing += latencyGain * (1 - s.failing)
 		s.fails++
 		if s.strikes++; e.Code == ConnectFailed || e.Code == Reset {
 			s.strikes++ // the process is gone, or out of reach
@@ -287,6 +311,7 @@
 func (m *Module) startCold(s *server, at Time) {
 	s.cold, s.coldSince, s.tokens, s.tokensAt = true, at, 1, m.now
 	s.rate *= m.set.ColdFrom
+	s.reading = readings.Reading{}
 }
 
 // paced tells whether a cold server's budget is spent. It is refilled with the part that the server can do
@@ -336,7 +361,7 @@
 		return false
 	}
 	a := r.newAttempt()
-	a.server, a.sent, a.mayRun, a.load = s, m.now, true, m.loadOf(s)
+	a.server, a.sent, a.mayRun, a.wait = s, m.now, true, m.waitAt(s)
 	r.out++
 	s.tokens--
 	if !r.pending { // guards against servers that count as crowded by what slow clients still send
@@ -388,46 +413,16 @@
 	m.route(r)
 }
 
-// route sends a request where pick says. In a crowd where only probes tell a server's load, both choices are
-// asked first and the request waits, unless its time is so short that it might be lost while held.
+// route sends a request where pick says, or sheds it.
 func (m *Module) route(r *request) {
-	s, other, mode := m.pick(r)
-	if s == nil || other == s || !m.crowd || !m.set.MayProbe || m.set.ReportVia != ReportProbe ||
-		r.deadline-m.now < 2*probeWait { // guards against one lost while it is held
-		m.settle(r, s, mode)
-		return
-	}
-	r.choice, r.asked, r.heldAt = [2]*server{s, other}, 2, m.now
-	m.held = append(m.held, r)
-	m.do(Probe{Server: s.ID})
-	m.do(Probe{Server: other.ID})
-}
-
-// release sends the held requests whose choices have told their load; one that has not told is busy.
-func (m *Module) release() {
-	held := m.held[:0]
-	for _, r := range m.held {
-		if s, other := r.choice[0], r.choice[1]; r.asked > 0 && m.now < r.heldAt+probeWait && !r.done {
-			held = append(held, r)
-		} else if !r.done {
-			told, also := s.reportAt >= r.heldAt, other.reportAt >= r.heldAt
-			if also && !told || told == also && m.delayOf(other) < m.delayOf(s) {
-				s = other
-			}
-			m.settle(r, s, m.modeOf(s))
-		}
-	}
-	m.held = held
-}
-
-// settle sends a request or sheds it.
-func (m *Module) settle(r *request, s *server, mode Mode) {
+	s, mode := m.pick(r)
 	if mode != Normal {
 		m.crowded++
 	}
 	full := !r.priority && float64(len(m.requests)) > openPart*float64(m.set.MaxOpen) && m.set.MaxOpen > 0
 	shed := full || mode == Overloaded && (r.priority && m.random() < m.q1 || !r.priority && m.random() < m.q2)
-	if shed || mode == Blocking || (m.crowd || mode != Normal) && m.worthless(r, m.mean*r.class.relative) {
+	after := m.mean * r.class.relative
+	if shed || mode == Blocking || (m.crowd || mode != Normal) && m.worthless(r, after) {
 		s = nil
 	}
 	if !m.send(r, s, r.deadline) {
@@ -446,29 +441,41 @@
 }
 
 // pick is the ordinary path: two random normal servers, else overloaded ones; the lower expected delay wins.
-func (m *Module) pick(r *request) (best, other *server, mode Mode) {
+func (m *Module) pick(r *request) (best *server, mode Mode) {
 	pools := &m.pools // kept from call to call: no garbage
 	pools[0], pools[1] = pools[0][:0], pools[1][:0]
-	for _, s := range m.near {
+	few, left := m.told(), drawn
+	if r.priority {
+		left *= 2
+	}
+	for i, s := range m.near {
+		if few { // a few, drawn: guards against a rush of all nodes to those that are said to be idle
+			k := i + int(m.random()*float64(len(m.near)-i))
+			m.near[i], m.near[k] = m.near[k], m.near[i]
+			s = m.near[i]
+		}
 		if s.suspect || !m.maySend(r, s) || m.paced(s) {
 			continue
 		}
 		if mode := m.modeOf(s); mode != Blocking {
 			pools[mode] = append(pools[mode], s)
 		}
+		if left--; few && left <= 0 {
+			break
+		}
 	}
 	for i, pool := range pools {
 		if len(pool) == 0 {
 			continue
 		}
 		k := int(m.random() * float64(len(pool)))
-		best, other = pool[k], pool[(k+1+int(m.random()*float64(len(pool)-1)))%len(pool)]
+		best, other := pool[k], pool[(k+1+int(m.random()*float64(len(pool)-1)))%len(pool)]
 		if m.delayOf(other) < m.delayOf(best) {
-			best, other = other, best
+			best = other
 		}
-		return best, other, Mode(i)
+		return best, Mode(i)
 	}
-	return nil, nil, Blocking
+	return nil, Blocking
 }
 
 func (m *Module) ended(e *AttemptEnded) {
@@ -520,7 +527,7 @@
 // tick is the round of checks.
 func (m *Module) tick() {
 	m.survey()
-	m.release()
+	m.inquire()
 	fill, count := 0.0, 1e-9
 	for _, s := range m.near {
 		// Silence: several sends, no answer at all, for a time in which the fleet's mean request is long done.
@@ -589,29 +596,50 @@
 		}
 		m.drop(s)
 	}
-	sort.Slice(m.list, func(i, j int) bool { return m.list[i].rank < m.list[j].rank })
+	sort.Slice(m.list, func(i, j int) bool {
+		a, b := m.list[i], m.list[j]
+		return a.place < b.place || a.place == b.place && a.rank < b.rank
+	})
 	m.subset()
 }
 
-// subset chooses the servers that this node uses, by rendezvous hashing: the same while they last, each in
-// about as many sets. Guards against connections from every node to every server. Suspects are replaced.
+// sets is how many nodes use a server.
+func (m *Module) sets() int {
+	if m.set.Nodes >= crowdNodes {
+		return setConns
+	}
+	return fewConns
+}
+
+// subset chooses the servers that this node uses. Each server is used by the same number of nodes, the first
+// for it by rendezvous hashing, so load over servers is even and one that comes or goes changes nothing for
+// the others. Guards against connections from every node to every server. A node that got few, or sends much,
+// uses those too for which it comes next. Suspects are replaced.
 func (m *Module) subset() {
 	m.near, m.bad = m.near[:0], 0
-	want := max(setLeast, int(math.Ceil(setConns*float64(len(m.list))/float64(m.set.Nodes))))
-	for _, s := range m.list {
-		if want > 0 && s.State == Ready {
-			if m.near = append(m.near, s); s.suspect {
-				m.bad++
-			} else {
-				want--
-			}
+	least := max(setLeast, int(math.Ceil(setSpare*m.busy)))
+	for _, s := range m.list { // in the order of this node's place
+		if s.State != Ready || s.place >= m.sets() && least <= 0 {
+			continue
+		}
+		if m.near = append(m.near, s); s.suspect {
+			m.bad++
+		} else {
+			least--
 		}
 	}
-	m.sharing = math.Max(1, float64(m.set.Nodes*len(m.near))/math.Max(1, float64(len(m.list)))/crowdAt)
-	// Guards against probes for each request where the windows of a node's set still hold some: there its own
-	// counts tell enough, and tens of nodes that probe cost the servers more than they gain.
-	if m.crowd = m.sharing > 1 && startWindow*float64(len(m.near)) < float64(m.set.Nodes); !m.crowd {
-		m.sharing = 1
+	m.size = 0
+	for _, s := range m.near {
+		if m.set.SizeKnown && !m.set.SizeLive && s.Size > 0 {
+			m.size += s.Size / float64(len(m.near))
+		}
+	}
+	crowd := m.crowd
+	if m.crowd = m.set.Nodes >= crowdNodes; m.crowd {
+		m.sharing = math.Max(setConns, float64(m.set.Nodes*setLeast)/math.Max(1, float64(len(m.list)))) / crowdAt
+	}
+	if m.crowd && !crowd { // an idle connection costs its server more by then than a new one would
+		m.do(KeepIdle{For: crowdIdle})
 	}
 }
 
--- a/balance/behaviour_test.go
+++ b/balance/behaviour_test.go
@@ -28,6 +28,7 @@
 	came     map[balance.RequestID]time.Duration
 	refused, failed,
 	asks, next, accused int
+	other func(balance.Action) // takes what the rig has no use for
 }
 
 type rigEvent struct {
@@ -94,6 +95,10 @@
 		case balance.Subscribe:
 			r.asks++
 			r.due = append(r.due, rigEvent{r.now + time.Second, balance.ListUpdate{Kind: balance.ListFailed}})
+		default:
+			if r.other != nil {
+				r.other(a)
+			}
 		}
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -6,19 +6,18 @@
 	"fmt"
 	"math"
 	"time"
+
+	"barrowscale/readings"
 )
 
 // What is measured, and how it is smoothed.
 const (
-	rateTau     = 3.0                    // s; smoothing of a server's rate of answers
-	staleTau    = 3.0                    // s; a latency that is not renewed drifts to the fleet's mean
-	latencyGain = 0.1                    // weight of a new latency in a server's smoothed one
-	chanceGain  = 0.01                   // weight of an outcome in the share that fails by chance
-	classGain   = 0.02                   // the same over all servers, where samples are many
-	reportFresh = 300 * time.Millisecond // s; a report says what its server holds for so long
-	minUnit     = 1e-3                   // s; before an answer has come, so that the loads of two servers compare
-	unitGain    = 0.05                   // weight of a new sample in the unit of all servers
-	outlierCap  = 4.0                    // multiple of the smoothed latency: a heavy request is no sick server
+	rateTau     = 3.0  // s; smoothing of a server's rate of answers
+	staleTau    = 3.0  // s; a latency that is not renewed drifts to the fleet's mean
+	latencyGain = 0.1  // weight of a new latency in a server's smoothed one
+	chanceGain  = 0.01 // weight of an outcome in the share that fails by chance
+	classGain   = 0.02 // the same over all servers, where samples are many
+	outlierCap  = 4.0  // multiple of the smoothed latency: a heavy request is no sick server
 )
 
 // Mode is the overload state of a server as this node sees it: the paper's s = 0, 1, 2.
@@ -34,7 +33,9 @@
 	Server
 	mode, told, imposed Mode // by own count; by reports; by a full answer or a report, until it lapses
 	imposedUntil        Time
-	n, report           float64 // own attempts in flight; requests it last reported to hold
+	n, report, later    float64 // own attempts in flight; requests it last reported to hold; own ones since the reading
+	reading             readings.Reading
+	failing             float64 // share of attempts that fail here, smoothed
 	dither              float64 // in [0,1), drawn each period
 	excess, rate        float64 // s, smoothed latency of a mean request over m.mean; own answers each second, smoothed
 	latencyAt, rateAt   Time
@@ -47,9 +48,9 @@
 	trialWait           time.Duration
 	tokens              float64 // sends that its budget allows while cold
 	tokensAt            Time
-	quietUntil          Time    // no log line about it until then
-	unit                float64 // s, smoothed latency of a mean request for each one that the server held
-	rank                uint64  // its place in this node's own order of servers
+	quietUntil          Time   // no log line about it until then
+	place               int    // how many nodes come before this one for it
+	rank                uint64 // the order among servers of the same place
 }
 
 type class struct {
@@ -65,7 +66,7 @@
 type attempt struct {
 	server                 *server
 	sent                   Time
-	load                   float64 // that the server reported last before it was sent; -1: not known
+	wait                   float64 // what waitAt gave when it was sent
 	say                    Sending
 	ended, mayRun, stopped bool // mayRun: out, or ended without proof that it never ran
 	counted                bool // among the server's attempts in flight: the server works on it
@@ -78,9 +79,7 @@
 	arrived, deadline              Time
 	spent                          time.Duration // how long its client has waited before this try, at least
 	attempts                       []*attempt
-	out, asked                     int
-	choice                         [2]*server // asked before it is sent
-	heldAt                         Time
+	out                            int
 	priority, done, started, trial bool // done: it has its final answer; started: a stream has begun
 	unheld, pending                bool // its body is used up: it can not be sent again; it is still coming
 }
@@ -106,7 +105,13 @@
 	list                    []*server // those not gone, in this node's own order
 	near                    []*server // those that it uses
 	requests                map[RequestID]*request
-	open, held              []*request // in order of arrival; those that wait for probes
+	open                    []*request // in order of arrival
+	duty                    readings.Duty
+	waits, slots            float64 // s, mean wait of all servers; how many requests one works on at once
+	busy                    float64 // requests that this node has out, smoothed
+	shed, lasting           float64 // part to shed by those waits; what of it stands for how long they are over the aim
+	toldAt                  Time    // of the last reading of any
+	size                    float64 // of the mean server in use; 0: sizes tell nothing
 	ticking, learned        bool
 	answers                 float64
 	mean, base, aimed       float64 // s: smoothed latency; uncrowded; at which every class still meets its aim
@@ -130,7 +135,7 @@
 
 // New makes the module of a node that has just started.
 func New(s Settings, seed int64) *Module {
-	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, flow: math.Inf(1), floor: math.Inf(1), sharing: 1, classes: map[string]*class{},
+	m := &Module{set: s, rng: uint64(seed)*2 + 1, budget: retryBurst, flow: math.Inf(1), floor: math.Inf(1), sharing: 1, slots: slotsGuess, classes: map[string]*class{},
 		tenants: map[string]*tenant{}, known: map[ServerID]*server{}, requests: map[RequestID]*request{}}
 	m.set.Nodes = max(1, s.Nodes)
 	m.share = 1 / float64(m.set.Nodes)
@@ -162,11 +167,20 @@
 
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
-		m.known[id] = &server{since: m.now, quietUntil: m.now, rank: mix(uint64(id)<<20^uint64(m.set.Self))&^math.MaxUint32 | uint64(id)}
+		s := &server{since: m.now, quietUntil: m.now, rank: nodeRank(id, m.set.Self)&^math.MaxUint32 | uint64(id)}
+		for node := range m.set.Nodes {
+			if nodeRank(id, node) > nodeRank(id, m.set.Self) {
+				s.place++
+			}
+		}
+		m.known[id] = s
 	}
 	return m.known[id]
 }
 
+// nodeRank is a node's rank for a server, the same at all nodes: the highest come first.
+func nodeRank(id ServerID, node int) uint64 { return mix(mix(uint64(id)) + uint64(node)) }
+
 // Suspected tells whether a server is left out by the module's own choice.
 func (m *Module) Suspected(id ServerID) bool {
 	s := m.known[id]
@@ -200,10 +214,9 @@
 	return r.attempts[len(r.attempts)-1]
 }
 
-// free takes back a request that nobody knows any more: it is over and nothing is out. One that has waited for
-// probes may still be on the list of those that wait.
+// free takes back a request that nobody knows any more: it is over and nothing is out.
 func (m *Module) free(r *request) {
-	if len(m.unused) < maxUnused && m.requests[r.id] != r && r.choice[0] == nil {
+	if len(m.unused) < maxUnused && m.requests[r.id] != r {
 		m.unused = append(m.unused, r)
 	}
 }
@@ -342,6 +355,7 @@
 	if s := a.server; !a.counted {
 		a.counted, a.sent = true, m.now
 		s.n++
+		s.later++
 		if s.unanswered++; s.unanswered == 1 {
 			s.muteSince = m.now
 		}
@@ -366,68 +380,3 @@
 		}
 	}
 }
-
-// fresh tells whether a server's report says what it holds now.
-func (m *Module) fresh(s *server) bool {
-	return m.crowd && s.reportAt > 0 && m.now-s.reportAt < reportFresh
-}
-
-// loadOf is what a server last reported to hold; -1: not known.
-func (m *Module) loadOf(s *server) float64 {
-	if m.crowd && s.reportAt > 0 && m.now-s.reportAt < reportFresh {
-		return s.report
-	}
-	return -1
-}
-
-func (m *Module) unitOf(s *server) float64 {
-	if s.unit > 0 {
-		return s.unit
-	}
-	return math.Max(m.unit, minUnit)
-}
-
-// expected is the delay of a server's next request, by its report if that is fresh, else by its answers.
-func (m *Module) expected(s *server) float64 {
-	if m.fresh(s) {
-		return (s.report + 1) * m.unitOf(s)
-	}
-	return m.latencyOf(s)
-}
-
-// delayOf adds this node's own requests there, which only a report contains.
-func (m *Module) delayOf(s *server) float64 {
-	if m.fresh(s) {
-		return m.expected(s)
-	}
-	return (s.n + 1) * m.expected(s)
-}
-
-// learnUnit compares what an answer took with the load that its server had reported before.
-func (m *Module) learnUnit(a *attempt, c *class, e *AttemptEnded) {
-	if e.Code != OK || a.load < 0 {
-		return
-	}
-	t, s := e.Elapsed.Seconds()/c.relative/(a.load+1), a.server
-	if m.unit == 0 {
-		m.unit = t
-	}
-	m.unit += unitGain * (t - m.unit)
-	s.unit = m.unitOf(s) + latencyGain*(t-m.unitOf(s))
-}
-
-// probed takes what a probe tells.
-func (m *Module) probed(e ProbeEnded) {
-	s := m.known[e.Server]
-	if s == nil {
-		return
-	}
-	if e.Code == OK && e.Report != nil && e.Report.HasInFlight {
-		s.report, s.reportAt = e.Report.InFlight, m.now
-	}
-	for _, r := range m.held {
-		if r.choice[0] == s || r.choice[1] == s {
-			r.asked--
-		}
-	}
-}
--- /dev/null
+++ b/balance/waits.go
@@ -0,0 +1,166 @@
+package balance
+
+// What nodes know of servers' waits where hundreds of them share the servers: a node's own counts and answers are too few
+// there to tell a busy server from an idle one. Package readings says who asks whom and what a reading is worth; here is
+// what follows from it for where a request goes and what is shed.
+
+import (
+	"math"
+
+	"barrowscale/readings"
+)
+
+const (
+	unitGain   = 0.05 // weight of a new sample in the plain work of a mean request
+	waitGain   = 0.02 // weight of a reading in the mean of all servers' waits
+	slotsGain  = 0.05 // weight of a reading in the number of requests that a server works on at once
+	slotsGuess = 4.0  // that number, before a server has told
+	leastWork  = 0.2  // part of what an answer took, that its work was at least: waits are estimates
+	failPrice  = 2.0  // power of the share that fails, by which a server counts as slower
+	shedNow    = 0.9  // 1/s; part shed for each second that the fleet's wait is over the one aimed at
+	shedMore   = 0.35 // 1/s2; the same for each second that it goes on: the two leave a margin to the loop
+	waitPart   = 0.1  // part of the shortest aim that requests may wait before the fleet sheds
+	waitHigh   = 5.0  // H of a server, in quarters of that wait
+	waitLow    = 2.0  // L
+	waitBlock  = 31.0 // R: three quarters of that aim, which leaves no time for the work
+)
+
+// govern sets what is shed where all nodes hear how long servers make requests wait: by that, so all shed the same, and
+// a node's own answers, which are few, can not keep it refusing.
+func (m *Module) govern() {
+	m.aimed = math.Inf(1)
+	for _, c := range m.order {
+		if c.Aim > 0 {
+			m.aimed = math.Min(m.aimed, waitPart*c.Aim.Seconds())
+		}
+	}
+	over := m.waits - m.aimed
+	most := m.in2 / math.Max(1e-9, m.in1+m.in2) // priority requests go on: the modes keep servers from being overrun
+	m.lasting = math.Min(most, math.Max(0, m.lasting+shedMore*over*tickEvery.Seconds()))
+	m.shed = math.Min(most, math.Max(0, m.lasting+shedNow*over))
+}
+
+// partOf is a server's size as a multiple of the mean one's.
+func (m *Module) partOf(s *server) float64 {
+	if m.size <= 0 || s.Size <= 0 {
+		return 1
+	}
+	return s.Size / m.size
+}
+
+// told tells whether this node knows from readings how long servers make requests wait.
+func (m *Module) told() bool {
+	return m.crowd && m.toldAt > 0 && m.now-m.toldAt < readings.Useless
+}
+
+// each is what a request that waits at a server makes the next one wait, in s.
+func (m *Module) each(s *server) float64 { return m.unit / m.slots / m.partOf(s) }
+
+// waitAt is how long a request waits at a server: by its reading, which counts the less the older it is, and by what
+// this node has sent there since.
+func (m *Module) waitAt(s *server) float64 {
+	return s.reading.Shrunk(m.now, m.waits) + math.Min(s.later, s.n)*m.each(s)
+}
+
+// expected is the delay of a mean request, by the wait if it is known, else by answers.
+func (m *Module) expected(s *server) float64 {
+	if m.told() {
+		return m.waitAt(s) + m.unit/m.partOf(s)
+	}
+	return m.latencyOf(s)
+}
+
+// delayOf adds this node's own requests there, unless they are in. A server that fails counts as slower, or the
+// little that it holds would draw all to it.
+func (m *Module) delayOf(s *server) float64 {
+	if m.told() {
+		return m.expected(s) / math.Pow(1-s.failing, failPrice)
+	}
+	return (s.n + 1) * m.expected(s)
+}
+
+// learnUnit takes what an answer took beyond the wait for the plain work of a mean request at a mean server.
+func (m *Module) learnUnit(a *attempt, c *class, e *AttemptEnded) {
+	if e.Code != OK || !m.crowd {
+		return
+	}
+	took := e.Elapsed.Seconds()
+	t := math.Max(took-a.wait, took*leastWork) / c.relative * m.partOf(a.server)
+	m.learnWork(t)
+}
+
+// learnWork takes what the plain work of a mean request took, or has taken by another node's answers.
+func (m *Module) learnWork(t float64) {
+	if m.unit == 0 {
+		m.unit = t
+	}
+	if t > 0 {
+		m.unit += unitGain * (t - m.unit)
+	}
+}
+
+// inquire asks a server for its load when it is this node's turn.
+func (m *Module) inquire() {
+	if !m.crowd || !m.set.MayProbe || m.set.ReportVia != ReportProbe || len(m.near) == 0 ||
+		!m.duty.Due(m.now, len(m.list), m.set.Nodes, m.random()) {
+		return
+	}
+	one, other := m.near[int(m.random()*float64(len(m.near)))], m.near[int(m.random()*float64(len(m.near)))]
+	if readings.Staler(m.now, &one.reading, &other.reading) == &other.reading {
+		one = other
+	}
+	one.reading.Asked = m.now
+	m.do(Probe{Server: one.ID})
+}
+
+// probed takes what a probe tells, and tells the other nodes.
+func (m *Module) probed(e ProbeEnded) {
+	m.duty.Done()
+	s := m.known[e.Server]
+	if s == nil || s.State != Ready {
+		return
+	}
+	p := readings.Probe{Took: e.Elapsed, OK: e.Code == OK, Refused: e.Code == ServerError || e.Code == Full, Waiting: -1, Each: m.each(s)}
+	if r := e.Report; r != nil && r.HasInFlight {
+		s.report, s.reportAt = r.InFlight, m.now
+		if p.Waiting = math.Max(0, r.InFlight-m.slots); r.HasQueue {
+			p.Waiting = r.Queue
+		}
+		if r.HasQueue && r.Queue > 0 && r.InFlight > r.Queue {
+			m.slots += slotsGain * (r.InFlight - r.Queue - m.slots)
+		}
+	}
+	wait, known := p.Wait()
+	if !known {
+		return
+	}
+	m.read(s, wait, m.now)
+	if m.set.MayMessage && m.set.Nodes > 1 {
+		m.do(SendMessage{ToAll: true, Data: readings.Encode(nil, m.unit, readings.Said{Server: uint32(s.ID), Wait: wait})})
+	}
+}
+
+// heard takes what another node was told. What is in no known form is ignored.
+func (m *Module) heard(e MessageReceived) {
+	work, err := readings.Decode(e.Data, func(said readings.Said) {
+		if s := m.known[ServerID(said.Server)]; s != nil && s.State == Ready {
+			m.read(s, said.Wait, m.now-said.Age)
+		}
+	})
+	if err == nil && m.crowd {
+		m.learnWork(work)
+	}
+}
+
+// read takes a reading of a server, if it is news.
+func (m *Module) read(s *server, wait float64, at Time) {
+	if !s.reading.Take(wait, at) {
+		return
+	}
+	s.later = 0
+	if m.toldAt == 0 || m.now-m.toldAt > readings.Useless {
+		m.waits = wait
+	}
+	m.waits += waitGain * (wait - m.waits)
+	m.toldAt = m.now
+}
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -20,6 +20,7 @@
 	"balance":              "",
 	"handoff":              "",
 	"maintenance":          "",
+	"readings":             "",
 	"steer":                "",
 	"subset":               "",
 	"internal/lab/judge":   "",
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -18,7 +18,6 @@
 	}
 }
 
-
 func FuzzParse(f *testing.F) {
 	f.Add("active=1,waiting=2")
 	f.Add("inflight=1e400,queue=-1")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -429,6 +429,8 @@
 			if b := n.servers[a.Server]; b != nil {
 				n.pool.CloseIdle(b)
 			}
+		case balance.KeepIdle:
+			n.pool.SetIdle(min(a.For, n.cfg.Settings.ConnIdle))
 		case balance.Log:
 			log.Print(a.Line)
 		}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -77,6 +77,8 @@
 		b = append(b, `{"reload":{`...)
 	case balance.CloseIdle:
 		b = appendInt(b, `{"disconnect":{"backend":`, int64(a.Server))
+	case balance.KeepIdle: // the wire has no word for it
+		b = appendText(b, `{"trace":{"message":`, "idle connections are kept for "+a.For.String())
 	case balance.Log:
 		b = appendText(b, `{"trace":{"message":`, a.Line)
 	}
--- /dev/null
+++ b/readings/readings.go
@@ -0,0 +1,186 @@
+// Package readings decides how a fleet of nodes knows how long its servers make requests wait,
+// at a cost that does not grow with the number of nodes: who asks which server
+// when, what is told to the other nodes, and how much a reading is worth by its
+// age. It does no I/O, reads no clock and starts no goroutine.
+//
+// A node asks by itself so seldom that all nodes which use a server ask it once
+// in each Interval together; the answer is told to all. Nobody is in charge, so
+// nothing is taken over when a node dies: the others' readings get that much
+// older, until it is back. A reading that comes late or not at all is an older
+// one, and an old one says no more than that the server is like the others.
+package readings
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"time"
+)
+
+// Time is a reading of the caller's monotonic clock.
+type Time = time.Duration
+
+const (
+	// Interval is the time between two readings of a server, in the mean and
+	// over all nodes.
+	Interval = 400 * time.Millisecond
+	// Lasting is the age at which a reading has lost all but a third of its
+	// weight: the time in which a crowded server of a few cores drains or fills.
+	Lasting = 1500 * time.Millisecond
+	// Useless is the age from which on a reading says nothing of its server.
+	Useless = 3 * Lasting
+	// MostOut is how many probes a node has out at most: a server that does not
+	// answer holds up one of them.
+	MostOut = 4
+
+	jitter = 0.5 // of the time between two probes: nodes that started together do not ask together
+)
+
+// Reading is what a server said of itself, or what is made of that by now.
+type Reading struct {
+	Wait  float64 // s; how long a request waits there before it is worked on
+	At    Time    // when it was told; 0: never
+	Asked Time    // when this node asked last, whatever came of it; 0: never
+}
+
+// Take puts a reading in the place of an older one. It tells whether it is newer.
+func (r *Reading) Take(wait float64, at Time) bool {
+	if at <= r.At || !(wait >= 0) || math.IsInf(wait, 0) {
+		return false
+	}
+	r.Wait, r.At = wait, at
+	return true
+}
+
+// Weight is what a reading counts for at its age, from 1 to 0.
+func (r *Reading) Weight(now Time) float64 {
+	if r.At == 0 || now-r.At > Useless {
+		return 0
+	}
+	return math.Exp(-max(0, now-r.At).Seconds() / Lasting.Seconds())
+}
+
+// Shrunk is the wait to expect: the reading by its weight, for the rest the
+// mean of all servers.
+func (r *Reading) Shrunk(now Time, mean float64) float64 {
+	return mean + r.Weight(now)*(r.Wait-mean)
+}
+
+// old is the time since anyone is known to have asked.
+func (r *Reading) old(now Time) Time { return now - max(r.At, r.Asked) }
+
+// Staler tells which of two servers is to be asked: the one that was heard of
+// or asked longer ago.
+func Staler(now Time, a, b *Reading) *Reading {
+	if b.old(now) > a.old(now) {
+		return b
+	}
+	return a
+}
+
+const (
+	censored = 1.5                    // times the time that a probe took in vain, that the wait is taken to be
+	vain     = 100 * time.Millisecond // a probe that fails sooner was not let wait
+)
+
+// Probe is what came of asking a server.
+type Probe struct {
+	Took    time.Duration
+	OK      bool    // it answered
+	Refused bool    // it said that it could not answer
+	Waiting float64 // requests that it said wait there; negative: it did not say
+	Each    float64 // s; what one of them makes the next wait
+}
+
+// Wait is how long a request waits at a server that was asked, in s; false: what
+// came tells nothing of it. A deep probe waits as a request does, so the time
+// that it took counts; a shallow one is back at once, and what it tells counts.
+// One that was given up by the server after a time has waited that long at
+// least: left out, the longest waits would be missing.
+func (p Probe) Wait() (float64, bool) {
+	switch {
+	case p.OK:
+		return math.Max(p.Took.Seconds(), p.Waiting*p.Each), true
+	case p.Refused && p.Took >= vain:
+		return censored * p.Took.Seconds(), true
+	}
+	return 0, false
+}
+
+// Duty is a node's part in asking.
+type Duty struct {
+	next Time
+	out  int
+}
+
+// Due tells whether it is this node's turn to ask one server. all is how many
+// servers there are, nodes how many nodes ask; draw is a random number in
+// [0,1). It is to be called at least every few milliseconds; a turn that was
+// missed is not made up for.
+func (d *Duty) Due(now Time, all, nodes int, draw float64) bool {
+	if now < d.next || all <= 0 || d.out >= MostOut {
+		return false
+	}
+	each := float64(Interval) * float64(max(1, nodes)) / float64(all)
+	if d.next == 0 { // the first turns of nodes that start together are spread over a whole round
+		d.next = now + Time(draw*each)
+		return false
+	}
+	d.next = now + Time(each*(1-jitter+2*jitter*draw))
+	d.out++
+	return true
+}
+
+// Done takes the end of a probe.
+func (d *Duty) Done() { d.out = max(0, d.out-1) }
+
+// Said is a reading as nodes tell it to one another.
+type Said struct {
+	Server uint32
+	Wait   float64 // s
+	Age    time.Duration
+}
+
+// The form: a byte that names it; what the plain work of a mean request takes by
+// its sender's answers, in tenths of a millisecond, 0 if it has none; then for each
+// reading the server's number, the wait and the age in milliseconds. All in network
+// order.
+const (
+	form = 0xB1
+	head = 3
+	each = 8
+	// Most is how many readings one datagram of 256 bytes holds.
+	Most = (256 - head) / each
+)
+
+var errForm = errors.New("no readings")
+
+// Encode appends readings to a datagram that is empty; it leaves out what is
+// over Most.
+func Encode(to []byte, work float64, said ...Said) []byte {
+	to = binary.BigEndian.AppendUint16(append(to, form), millis(10*work))
+	for _, s := range said[:min(len(said), Most)] {
+		to = binary.BigEndian.AppendUint32(to, s.Server)
+		to = binary.BigEndian.AppendUint16(to, millis(s.Wait))
+		to = binary.BigEndian.AppendUint16(to, millis(s.Age.Seconds()))
+	}
+	return to
+}
+
+func millis(seconds float64) uint16 {
+	return uint16(math.Min(math.MaxUint16, math.Max(0, math.Round(1000*seconds))))
+}
+
+// Decode calls take with each reading of a datagram and gives the plain work of a
+// mean request, in s. One that is not in this form is an error, and nothing of it
+// is taken.
+func Decode(data []byte, take func(Said)) (work float64, err error) {
+	if len(data) < head+each || data[0] != form || (len(data)-head)%each != 0 || len(data) > head+Most*each {
+		return 0, errForm
+	}
+	for b := data[head:]; len(b) > 0; b = b[each:] {
+		take(Said{Server: binary.BigEndian.Uint32(b), Wait: float64(binary.BigEndian.Uint16(b[4:])) / 1000,
+			Age: time.Duration(binary.BigEndian.Uint16(b[6:])) * time.Millisecond})
+	}
+	return float64(binary.BigEndian.Uint16(data[1:])) / 10000, nil
+}
--- /dev/null
+++ b/readings/readings_test.go
@@ -0,0 +1,175 @@
+package readings
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fleet lets nodes ask for a time and gives each server's times between two readings, in s.
+func fleet(nodes, servers int, length time.Duration, lives func(node int, now Time) bool) (gaps []float64) {
+	r := rand.New(rand.NewPCG(1, 2))
+	duties := make([]Duty, nodes)
+	seen := make([]Reading, servers)
+	last := make([]Time, servers)
+	for now := Time(time.Second); now < time.Second+length; now += 5 * time.Millisecond {
+		for n := range duties {
+			if !lives(n, now) || !duties[n].Due(now, servers, nodes, r.Float64()) {
+				continue
+			}
+			a, b := r.IntN(servers), r.IntN(servers)
+			if Staler(now, &seen[a], &seen[b]) == &seen[b] {
+				a = b
+			}
+			if last[a] > 0 {
+				gaps = append(gaps, (now - last[a]).Seconds())
+			}
+			last[a] = now
+			seen[a].Take(0.1, now)
+			duties[n].Done()
+		}
+	}
+	return gaps
+}
+
+func mean(v []float64) (sum float64) {
+	for _, x := range v {
+		sum += x / float64(len(v))
+	}
+	return sum
+}
+
+// However many nodes there are, a server is asked as often.
+func TestAServerIsAskedAsOftenByFewNodesAsByMany(t *testing.T) {
+	for _, nodes := range []int{1, 3, 40, 120, 300} {
+		gaps := fleet(nodes, 30, 20*time.Second, func(int, Time) bool { return true })
+		if m := mean(gaps) / Interval.Seconds(); m < 0.85 || m > 1.25 {
+			t.Errorf("%d nodes: a server is asked each %.2f of the interval", nodes, m)
+		}
+		worst := 0.0
+		for _, g := range gaps {
+			worst = math.Max(worst, g)
+		}
+		if worst > Useless.Seconds() {
+			t.Errorf("%d nodes: one was not asked for %.1f s", nodes, worst)
+		}
+	}
+}
+
+// Seven in ten nodes die at once: the others ask on, no more than before.
+func TestNodesThatDieLeaveOlderReadingsOnly(t *testing.T) {
+	gaps := fleet(300, 175, 20*time.Second, func(n int, now Time) bool { return n < 90 || now < 5*time.Second })
+	if m := mean(gaps); m > 4*Interval.Seconds() || m < 0.85*Interval.Seconds() {
+		t.Errorf("asked each %.2f s", m)
+	}
+}
+
+// A server that does not answer holds up no more than one turn, and all of them together stop a node's asking until
+// one is back.
+func TestProbesThatHangAreBounded(t *testing.T) {
+	var d Duty
+	asked := 0
+	for now := Time(1); now < Time(time.Minute); now += 5 * time.Millisecond {
+		if d.Due(now, 100, 1, 0.5) {
+			asked++
+		}
+	}
+	if asked != MostOut {
+		t.Errorf("%d probes are out", asked)
+	}
+	if d.Done(); !d.Due(Time(2*time.Minute), 100, 1, 0.5) {
+		t.Error("it asks no more although one is back")
+	}
+}
+
+func TestWaitOfAProbe(t *testing.T) {
+	for _, c := range []struct {
+		what  string
+		p     Probe
+		wait  float64
+		known bool
+	}{
+		{"deep: it waited itself", Probe{Took: 300 * time.Millisecond, OK: true, Waiting: 2, Each: 0.05}, 0.3, true},
+		{"shallow: what it tells counts", Probe{Took: 2 * time.Millisecond, OK: true, Waiting: 8, Each: 0.05}, 0.4, true},
+		{"no report", Probe{Took: 20 * time.Millisecond, OK: true, Waiting: -1, Each: 0.05}, 0.02, true},
+		{"the server gave it up after a time", Probe{Took: 400 * time.Millisecond, Refused: true}, 0.6, true},
+		{"turned away at once", Probe{Took: time.Millisecond, Refused: true}, 0, false},
+		{"no answer", Probe{Took: time.Second}, 0, false},
+	} {
+		if wait, known := c.p.Wait(); math.Abs(wait-c.wait) > 1e-9 || known != c.known {
+			t.Errorf("%s: %v, %v", c.what, wait, known)
+		}
+	}
+}
+
+func TestAReadingLosesWeightWithAge(t *testing.T) {
+	var r Reading
+	if r.Shrunk(time.Second, 0.3) != 0.3 {
+		t.Error("a server that nobody asked is like the others")
+	}
+	r.Take(1.3, 10*time.Second)
+	if r.Take(0.1, 9*time.Second) || r.Take(math.NaN(), 11*time.Second) || r.Take(-1, 11*time.Second) || r.Take(math.Inf(1), 11*time.Second) {
+		t.Error("an older reading, or one that is none, was taken")
+	}
+	last := math.Inf(1)
+	for age := time.Duration(0); age <= Useless; age += 100 * time.Millisecond {
+		s := r.Shrunk(10*time.Second+age, 0.3)
+		if s >= last || s < 0.3 {
+			t.Errorf("%v: %v after %v", age, s, last)
+		}
+		last = s
+	}
+	if s := r.Shrunk(10*time.Second+Useless+1, 0.3); s != 0.3 {
+		t.Errorf("a useless reading counts: %v", s)
+	}
+	// A clock that steps back, or a reading from a node whose clock is ahead.
+	if s := r.Shrunk(9*time.Second, 0.3); s != 1.3 {
+		t.Errorf("a reading of the future: %v", s)
+	}
+}
+
+func TestWhatIsToldIsHeard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		said := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Said {
+			return Said{Server: rapid.Uint32().Draw(t, "server"), Wait: float64(rapid.IntRange(0, 65535).Draw(t, "ms")) / 1000,
+				Age: time.Duration(rapid.IntRange(0, 65535).Draw(t, "age")) * time.Millisecond}
+		}), 1, Most).Draw(t, "said")
+		data := Encode(nil, 0.1234, said...)
+		if len(data) > 256 {
+			t.Fatalf("%d bytes", len(data))
+		}
+		var heard []Said
+		work, err := Decode(data, func(s Said) { heard = append(heard, s) })
+		if err != nil || math.Abs(work-0.1234) > 1e-9 || len(heard) != len(said) {
+			t.Fatalf("%v, %v, %d of %d", work, err, len(heard), len(said))
+		}
+		for i := range said {
+			if heard[i].Server != said[i].Server || math.Abs(heard[i].Wait-said[i].Wait) > 1e-9 || heard[i].Age != said[i].Age {
+				t.Fatalf("%+v was heard as %+v", said[i], heard[i])
+			}
+		}
+	})
+	if data := Encode(nil, 1e9, make([]Said, Most+9)...); len(data) != head+Most*each {
+		t.Errorf("%d bytes of too many readings", len(data))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(nil, 0.3, Said{1, 0.2, time.Second}))
+	f.Add([]byte{form})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		n := 0
+		_, err := Decode(data, func(s Said) {
+			n++
+			if !(s.Wait >= 0 && s.Wait < 66) || s.Age < 0 || s.Age > 66*time.Second {
+				t.Errorf("%+v", s)
+			}
+		})
+		if (err == nil) != (n > 0) || n > Most {
+			t.Errorf("%d readings, %v", n, err)
+		}
+	})
+}
