--- a/balance/balance.go
+++ b/balance/balance.go
@@ -238,7 +238,7 @@
 		m.q1, m.q2 = ShedSplit(math.Max(0, 1-m.flow/in), m.in1, m.in2)
 	}
 	if m.told() {
-		m.q1, m.q2 = ShedSplit(m.shed, m.in1, m.in2)
+		m.q1, m.q2 = ShedSplit(math.Min(m.shed, m.in2/math.Max(1e-9, m.in1+m.in2)), m.in1, m.in2)
 	}
 	if m.busy += busyGain * (float64(len(m.requests)) - m.busy); m.crowd {
 		m.subset()
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,8 +3,10 @@
 // The state that balance.go keeps, and its source of random numbers. Nothing is decided here.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"barrowscale/readings"
@@ -49,6 +51,7 @@
 	tokens              float64 // sends that its budget allows while cold
 	tokensAt            Time
 	quietUntil          Time   // no log line about it until then
+	users               []int  // other nodes that use it; see usersOf
 	place               int    // how many nodes come before this one for it
 	rank                uint64 // the order among servers of the same place
 }
@@ -168,8 +171,9 @@
 func (m *Module) serverOf(id ServerID) *server {
 	if m.known[id] == nil {
 		s := &server{since: m.now, quietUntil: m.now, rank: nodeRank(id, m.set.Self)&^math.MaxUint32 | uint64(id)}
+		own := nodeRank(id, m.set.Self)
 		for node := range m.set.Nodes {
-			if nodeRank(id, node) > nodeRank(id, m.set.Self) {
+			if nodeRank(id, node) > own {
 				s.place++
 			}
 		}
@@ -181,6 +185,20 @@
 // nodeRank is a node's rank for a server, the same at all nodes: the highest come first.
 func nodeRank(id ServerID, node int) uint64 { return mix(mix(uint64(id)) + uint64(node)) }
 
+// usersOf gives the other nodes that use a server, and those that would be the next to.
+func (m *Module) usersOf(s *server) []int {
+	if s.users == nil && m.set.Nodes > 1 {
+		nodes := make([]int, m.set.Nodes)
+		for i := range nodes {
+			nodes[i] = i
+		}
+		slices.SortFunc(nodes, func(a, b int) int { return cmp.Compare(nodeRank(s.ID, b), nodeRank(s.ID, a)) })
+		nodes = nodes[:min(len(nodes), m.sets()+tellMore)]
+		s.users = slices.Clip(slices.DeleteFunc(nodes, func(node int) bool { return node == m.set.Self }))
+	}
+	return s.users
+}
+
 // Suspected tells whether a server is left out by the module's own choice.
 func (m *Module) Suspected(id ServerID) bool {
 	s := m.known[id]
--- a/balance/waits.go
+++ b/balance/waits.go
@@ -12,7 +12,7 @@
 
 const (
 	unitGain   = 0.05 // weight of a new sample in the plain work of a mean request
-	waitGain   = 0.02 // weight of a reading in the mean of all servers' waits
+	tellMore   = 4    // nodes told of a server beside those that use it: some come to use it for a time
 	slotsGain  = 0.05 // weight of a reading in the number of requests that a server works on at once
 	slotsGuess = 4.0  // that number, before a server has told
 	leastWork  = 0.2  // part of what an answer took, that its work was at least: waits are estimates
@@ -25,8 +25,8 @@
 	waitBlock  = 31.0 // R: three quarters of that aim, which leaves no time for the work
 )
 
-// govern sets what is shed where all nodes hear how long servers make requests wait: by that, so all shed the same, and
-// a node's own answers, which are few, can not keep it refusing.
+// govern sets what is shed where nodes hear how long servers make requests wait: by that, so that those which share
+// servers shed alike, and a node's own answers, which are few, can not keep it refusing.
 func (m *Module) govern() {
 	m.aimed = math.Inf(1)
 	for _, c := range m.order {
@@ -34,6 +34,12 @@
 			m.aimed = math.Min(m.aimed, waitPart*c.Aim.Seconds())
 		}
 	}
+	sum, weight := 0.0, 1e-9
+	for _, s := range m.near {
+		w := s.reading.Weight(m.now)
+		sum, weight = sum+w*s.reading.Wait, weight+w
+	}
+	m.waits = sum / weight
 	over := m.waits - m.aimed
 	most := m.in2 / math.Max(1e-9, m.in1+m.in2) // priority requests go on: the modes keep servers from being overrun
 	m.lasting = math.Min(most, math.Max(0, m.lasting+shedMore*over*tickEvery.Seconds()))
@@ -135,8 +141,11 @@
 		return
 	}
 	m.read(s, wait, m.now)
-	if m.set.MayMessage && m.set.Nodes > 1 {
-		m.do(SendMessage{ToAll: true, Data: readings.Encode(nil, m.unit, readings.Said{Server: uint32(s.ID), Wait: wait})})
+	if m.set.MayMessage {
+		data := readings.Encode(nil, m.unit, readings.Said{Server: uint32(s.ID), Wait: wait})
+		for _, node := range m.usersOf(s) { // guards against a fleet that is busy with what its nodes tell one another
+			m.do(SendMessage{To: node, Data: data})
+		}
 	}
 }
 
@@ -157,10 +166,5 @@
 	if !s.reading.Take(wait, at) {
 		return
 	}
-	s.later = 0
-	if m.toldAt == 0 || m.now-m.toldAt > readings.Useless {
-		m.waits = wait
-	}
-	m.waits += waitGain * (wait - m.waits)
-	m.toldAt = m.now
+	s.later, m.toldAt = 0, m.now
 }
