--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,14 +45,14 @@
 	idlePart    = 1.2                    // of the least mean delay seen, that H lies above
 	inflowGain  = 0.3                    // weight of a period's arrivals in the smoothed ones
 	leastFlow   = 0.02                   // part of the arrivals that is let in at least: to learn how it goes
-	setConns    = 12                     // nodes that use a server: each costs it connections
+	setConns    = 9                      // nodes that use a server: each costs it connections
 	fewConns    = 40                     // the same where nodes are too few to be a crowd
 	crowdNodes  = 90                     // nodes from which on a node's own count says nothing of a server
 	setLeast    = 4                      // servers a node uses, at least: two choices and two spare
 	setSpare    = 1.5                    // the same for each request that it has out, smoothed
 	busyGain    = 0.1                    // weight of a period in that
 	crowdAt     = 10.0                   // nodes at a server that see enough of it to go by their own samples
-	crowdIdle   = 3 * time.Second        // s; how long an idle connection is kept there
+	crowdIdle   = 5 * time.Second        // s; how long an idle connection is kept there
 	crowdDepth  = 3.2                    // n at a server whose delay is aimPart of an aim, there
 	drawn       = 2                      // servers looked at for a request where all hear the same
 )
@@ -146,7 +146,7 @@
 	m.fleetRate = rate / math.Max(1, count) // in a crowd few answers must do: their mean stands for all servers
 	m.learned = m.answers > 0 && m.answers >= learnCount*float64(len(m.near))/m.sharing
 	if m.told() {
-		m.govern()
+		m.heed()
 	}
 	if !m.learned {
 		return
@@ -237,8 +237,8 @@
 		m.flow = math.Max(leastFlow*in, math.Min(1.5*in, m.flow)*(1.1-0.3*m.crowded/n))
 		m.q1, m.q2 = ShedSplit(math.Max(0, 1-m.flow/in), m.in1, m.in2)
 	}
-	if m.told() {
-		m.q1, m.q2 = ShedSplit(math.Min(m.shed, m.in2/math.Max(1e-9, m.in1+m.in2)), m.in1, m.in2)
+	if m.told() { // a crowded server is one by its wait: what is worth little is let in no more, the rest is
+		m.q1, m.q2 = 0, 1
 	}
 	if m.busy += busyGain * (float64(len(m.requests)) - m.busy); m.crowd {
 		m.subset()
--- a/balance/state.go
+++ b/balance/state.go
@@ -112,7 +112,6 @@
 	duty                    readings.Duty
 	waits, slots            float64 // s, mean wait of all servers; how many requests one works on at once
 	busy                    float64 // requests that this node has out, smoothed
-	shed, lasting           float64 // part to shed by those waits; what of it stands for how long they are over the aim
 	toldAt                  Time    // of the last reading of any
 	size                    float64 // of the mean server in use; 0: sizes tell nothing
 	ticking, learned        bool
--- a/balance/waits.go
+++ b/balance/waits.go
@@ -17,17 +17,14 @@
 	slotsGuess = 4.0  // that number, before a server has told
 	leastWork  = 0.2  // part of what an answer took, that its work was at least: waits are estimates
 	failPrice  = 2.0  // power of the share that fails, by which a server counts as slower
-	shedNow    = 0.9  // 1/s; part shed for each second that the fleet's wait is over the one aimed at
-	shedMore   = 0.35 // 1/s2; the same for each second that it goes on: the two leave a margin to the loop
-	waitPart   = 0.1  // part of the shortest aim that requests may wait before the fleet sheds
+	waitPart   = 0.12 // part of the shortest aim that requests may wait at a server that is not crowded
 	waitHigh   = 5.0  // H of a server, in quarters of that wait
 	waitLow    = 2.0  // L
 	waitBlock  = 31.0 // R: three quarters of that aim, which leaves no time for the work
 )
 
-// govern sets what is shed where nodes hear how long servers make requests wait: by that, so that those which share
-// servers shed alike, and a node's own answers, which are few, can not keep it refusing.
-func (m *Module) govern() {
+// heed takes what the set's readings say together: the mean wait, and the wait from which on its servers are crowded.
+func (m *Module) heed() {
 	m.aimed = math.Inf(1)
 	for _, c := range m.order {
 		if c.Aim > 0 {
@@ -40,10 +37,6 @@
 		sum, weight = sum+w*s.reading.Wait, weight+w
 	}
 	m.waits = sum / weight
-	over := m.waits - m.aimed
-	most := m.in2 / math.Max(1e-9, m.in1+m.in2) // priority requests go on: the modes keep servers from being overrun
-	m.lasting = math.Min(most, math.Max(0, m.lasting+shedMore*over*tickEvery.Seconds()))
-	m.shed = math.Min(most, math.Max(0, m.lasting+shedNow*over))
 }
 
 // partOf is a server's size as a multiple of the mean one's.
