Let own sends stand for those of the nodes that share a server, from 40 nodes on

Cause: between two readings of a server, 0.4 s and more apart, each of the nine nodes that use it counted its own sends there alone, so all took it for idle together.

Change: four for one; a reading fades in 0.7 s; a deep probe's time and report count by their mean; crowded from 0.15 of the shortest aim on. What own sends stand for never blocks a server, which only its next reading would free. All of it from 40 nodes on.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,7 +47,7 @@
 	leastFlow   = 0.02                   // part of the arrivals that is let in at least: to learn how it goes
 	setConns    = 9                      // nodes that use a server: each costs it connections
 	fewConns    = 40                     // the same where nodes are too few to be a crowd
-	crowdNodes  = 90                     // nodes from which on a node's own count says nothing of a server
+	crowdNodes  = 40                     // nodes from which on a node's own count says nothing of a server
 	setLeast    = 4                      // servers a node uses, at least: two choices and two spare
 	setSpare    = 1.5                    // the same for each request that it has out, smoothed
 	busyGain    = 0.1                    // weight of a period in that
@@ -200,7 +200,7 @@
 	if h := math.Floor(m.high(s) + s.dither); !m.crowd {
 		s.mode = NextMode(s.mode, s.n, lowPart*h, h, highPart*h+1)
 	} else if m.told() && m.aimed > 0 {
-		s.mode = NextMode(s.mode, 4*m.waitAt(s)/m.aimed, waitLow, waitHigh, waitBlock)
+		s.mode = NextMode(s.mode, m.waitDepth(s), waitLow, waitHigh, waitBlock)
 	} else if m.learned {
 		s.mode = NextMode(s.mode, crowdDepth*m.expected(s)/m.aimed, 3, 5, 9)
 	}
--- a/balance/waits.go
+++ b/balance/waits.go
@@ -16,8 +16,9 @@
 	slotsGain  = 0.05 // weight of a reading in the number of requests that a server works on at once
 	slotsGuess = 4.0  // that number, before a server has told
 	leastWork  = 0.2  // part of what an answer took, that its work was at least: waits are estimates
+	ownSends   = 4.0  // requests that come to a server since its reading for each one that this node sends there
 	failPrice  = 2.0  // power of the share that fails, by which a server counts as slower
-	waitPart   = 0.12 // part of the shortest aim that requests may wait at a server that is not crowded
+	waitPart   = 0.15 // part of the shortest aim that requests may wait at a server that is not crowded
 	waitHigh   = 5.0  // H of a server, in quarters of that wait
 	waitLow    = 2.0  // L
 	waitBlock  = 31.0 // R: three quarters of that aim, which leaves no time for the work
@@ -58,7 +59,14 @@
 // waitAt is how long a request waits at a server: by its reading, which counts the less the older it is, and by what
 // this node has sent there since.
 func (m *Module) waitAt(s *server) float64 {
-	return s.reading.Shrunk(m.now, m.waits) + math.Min(s.later, s.n)*m.each(s)
+	return s.reading.Shrunk(m.now, m.waits) + ownSends*math.Min(s.later, s.n)*m.each(s)
+}
+
+// waitDepth is n of a server whose wait is told. What this node has sent there is a guess at what others have, which
+// may crowd a server but not block it: only its next reading would free it again.
+func (m *Module) waitDepth(s *server) float64 {
+	told := 4 * s.reading.Shrunk(m.now, m.waits) / m.aimed
+	return math.Min(4*m.waitAt(s)/m.aimed, math.Max(told, waitBlock-1))
 }
 
 // expected is the delay of a mean request, by the wait if it is known, else by answers.
--- a/readings/readings.go
+++ b/readings/readings.go
@@ -26,7 +26,7 @@
 	Interval = 400 * time.Millisecond
 	// Lasting is the age at which a reading has lost all but a third of its
 	// weight: the time in which a crowded server of a few cores drains or fills.
-	Lasting = 1500 * time.Millisecond
+	Lasting = 700 * time.Millisecond
 	// Useless is the age from which on a reading says nothing of its server.
 	Useless = 3 * Lasting
 	// MostOut is how many probes a node has out at most: a server that does not
@@ -94,13 +94,22 @@
 
 // Wait is how long a request waits at a server that was asked, in s; false: what
 // came tells nothing of it. A deep probe waits as a request does, so the time
-// that it took counts; a shallow one is back at once, and what it tells counts.
+// that it took counts, which is of when it came, and what it tells, which is of
+// when it was answered: their mean. A shallow one is back at once, so what it
+// tells counts alone.
 // One that was given up by the server after a time has waited that long at
 // least: left out, the longest waits would be missing.
 func (p Probe) Wait() (float64, bool) {
 	switch {
 	case p.OK:
-		return math.Max(p.Took.Seconds(), p.Waiting*p.Each), true
+		took, told := p.Took.Seconds(), p.Waiting*p.Each
+		switch {
+		case p.Waiting < 0:
+			return took, true
+		case 2*took < told:
+			return told, true
+		}
+		return (took + told) / 2, true
 	case p.Refused && p.Took >= vain:
 		return censored * p.Took.Seconds(), true
 	}
