--- a/balance/api.go
+++ b/balance/api.go
@@ -3,7 +3,8 @@
 // refused. It does no I/O, reads no clock and starts no goroutine: the caller
 // feeds it events and carries out the actions it returns.
 //
-// This file is the interface; all decisions are in balance.go.
+// This file is the interface; the decisions are in balance.go and, where nodes
+// tell one another how long servers make requests wait, in waits.go.
 package balance
 
 import "time"
