--- a/balance/waits.go
+++ b/balance/waits.go
@@ -21,7 +21,7 @@
 	waitPart   = 0.15 // part of the shortest aim that requests may wait at a server that is not crowded
 	waitHigh   = 5.0  // H of a server, in quarters of that wait
 	waitLow    = 2.0  // L
-	waitBlock  = 31.0 // R: three quarters of that aim, which leaves no time for the work
+	waitBlock  = 31.0 // R: a little over that aim, which leaves no time for the work
 )
 
 // heed takes what the set's readings say together: the mean wait, and the wait from which on its servers are crowded.
