--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"math"
@@ -18,6 +19,8 @@
 	"barrowscale/internal/front"
 	"barrowscale/internal/handover"
 	"barrowscale/internal/node"
+	"barrowscale/internal/operator"
+	"barrowscale/internal/strict"
 )
 
 const heapPart = 0.7 // of the memory limit: the rest is for stacks, the kernel's buffers and slack
@@ -25,6 +28,10 @@
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "ivylock:", err)
+		var bad *strict.Error
+		if errors.As(err, &bad) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
@@ -36,6 +43,11 @@
 	if err != nil {
 		return err
 	}
+	if path := os.Getenv("IVYLOCK_OPERATOR"); path != "" {
+		if err := switchOn(cfg, path); err != nil {
+			return err
+		}
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -90,6 +102,18 @@
 	return n.Run(ctx, f)
 }
 
+// switchOn takes from the operator's file what of the node is switched on there.
+func switchOn(cfg *node.Config, path string) error {
+	file, err := operator.Load(path)
+	if err != nil {
+		return err
+	}
+	if f := file.Fleet; f != nil {
+		cfg.Fleet = &node.Fleet{Settings: f.Settings(), RecordFile: f.RecordFile, RecordEvery: f.RecordEvery.Duration}
+	}
+	return nil
+}
+
 // takeOver begins from what the process before this one left.
 func takeOver(n *node.Node, shared *handover.Files) {
 	found, err := shared.Take()
--- /dev/null
+++ b/fleet/audit/audit.go
@@ -0,0 +1,1 @@
+package audit
--- /dev/null
+++ b/fleet/follow/agent.go
@@ -0,0 +1,557 @@
+package follow
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"barrowscale/fleet/version"
+)
+
+const (
+	mostHeld   = 1024 // words of neighbours that are kept
+	mostLog    = 512  // own withdrawals that can be told one by one
+	askGap     = 50 * time.Millisecond
+	askFirst   = 150 * time.Millisecond // until the same process is asked again; doubles
+	askLast    = 4 * time.Second
+	answerGap  = 100 * time.Millisecond // between two answers to one process
+	repeatIn   = 150 * time.Millisecond // after which a push goes out once more
+	hearWindow = 4 * time.Second        // in which a process counts as heard
+	doubtTime  = time.Minute            // for which a process is not believed alone that was not borne out
+	forgetTime = 30 * time.Second       // after which a silent process may come back with an older clock
+	frozenFor  = 2 * time.Second        // for which a source that was found to be silent is taken for it
+	overtake   = 2 * time.Second        // by which a datagram may be older than its sender's newest and still be a part of an answer
+	drift      = 1e-4                   // that clocks of two processes run apart at most, as a part
+)
+
+// peer is what an agent knows of another process.
+type peer struct {
+	heard      Time // last word; 0: never
+	sent       Time // when that was sent, by this process's clock
+	stamp      version.Stamp
+	offset     time.Duration // least of (own clock less the stamp) so far: its clock's, and the network's least delay
+	offsetAt   Time
+	vector     version.Vector
+	acts       version.List
+	age        time.Duration // of its source's word when it was sent; negative: none
+	standing   Standing
+	askedAt    Time
+	askWait    time.Duration
+	answeredAt Time
+	doubtUntil Time
+	told       Time // when it was last told anything
+	behind     bool // it acts on what is too old
+	parts      assembly
+}
+
+// assembly collects the parts of an answer.
+type assembly struct {
+	kind      kind
+	to, since version.List
+	total     int
+	got       uint64
+	ok        bool // all words so far could be acted on
+	keys      []version.Key
+}
+
+// held is a neighbour's word that the own source has not caught up with.
+type held struct {
+	word
+	tellers []int // that have it of their own sources; at most mostTellers
+	via     int   // who told it first
+	at      Time
+	acted   bool
+}
+
+const mostTellers = 4
+
+type entry struct {
+	name      string
+	state     version.State
+	startedAt Time
+}
+
+// repeat is a push that goes out once more.
+type repeat struct {
+	at    Time
+	since version.List
+	words []word
+}
+
+// Agent decides for one process. It is not safe for concurrent use.
+type Agent struct {
+	set       Settings
+	fleet     Fleet
+	rng       *rand.Rand
+	clock     *version.Clock
+	rec       *version.Recorder
+	now       Time
+	out       []Action
+	vector    version.Vector
+	sum       version.Sum
+	entries   map[version.Key]entry
+	up        int // entries that are
+	listed    bool
+	listAt    Time   // when the own list last changed
+	log       []word // own withdrawals since floor that stand
+	floor     version.List
+	held      map[version.Key]*held
+	acts      version.List // all withdrawals up to it are in force here
+	confirmed Time         // when the own source spoke last; 0: never
+	peers     []peer
+	hearing   int // peers heard within hearWindow, as of the last tick
+	nextHello Time
+	nextAsk   Time
+	repeats   []repeat
+	standing  Standing
+	why       string
+	started   Time
+	wokeAt    Time
+	holdUntil Time
+	reopenAt  Time
+	frozenAt  Time // when so much of the fleet was last seen to be behind that it is the source that is
+	counts    Counts
+}
+
+// New makes the agent of a process that starts now. Settings and build are
+// digests (version.Digest).
+func New(set Settings, f Fleet, now Time, seed int64, process string, settings, build uint16) *Agent {
+	clock := &version.Clock{}
+	a := &Agent{set: set, fleet: f, rng: rand.New(rand.NewPCG(uint64(seed), 0x666f6c6c)), clock: clock, now: now, started: now,
+		rec: version.NewRecorder(process, f.Self(), now, clock), entries: map[version.Key]entry{}, held: map[version.Key]*held{}}
+	a.vector = version.Vector{Settings: settings, Build: build, Form: version.Form}
+	a.nextHello = now + Time(a.rng.Float64()*float64(set.Hello))
+	return a
+}
+
+// Recorder is the process's record.
+func (a *Agent) Recorder() *version.Recorder { return a.rec }
+
+// Counts gives the figures.
+func (a *Agent) Counts() Counts { return a.counts }
+
+// Standing tells how the process stands and why.
+func (a *Agent) Standing() (Standing, string) { return a.standing, a.why }
+
+// Vector is what the process acts on.
+func (a *Agent) Vector() version.Vector { return a.vector }
+
+// Acts is the version up to which all withdrawals are in force here.
+func (a *Agent) Acts() version.List { return a.acts }
+
+// Handle takes an event and returns what is to be done, in order. The slice is
+// reused by the next call.
+func (a *Agent) Handle(now Time, e Event) []Action {
+	a.now, a.out = max(now, a.now), a.out[:0]
+	switch e := e.(type) {
+	case Listed:
+		a.list(e)
+	case Heard:
+		a.hear(e)
+	case Ticked:
+		a.tick()
+	case Woke:
+		a.woke(e)
+	case Worded:
+		a.vector.Words = e.Digest
+		a.rec.Acts(a.now, a.vector)
+	}
+	return a.out
+}
+
+func (a *Agent) do(x Action) { a.out = append(a.out, x) }
+
+func (a *Agent) logf(format string, args ...any) { a.do(Log{fmt.Sprintf(format, args...)}) }
+
+// list takes a word of the own source.
+func (a *Agent) list(e Listed) {
+	before, gen := a.vector.List, uint32(e.Generation)
+	next := version.List{Epoch: before.Epoch, Generation: gen}
+	begun := a.listed && next.Order(before) == version.Older // discovery began anew
+	if begun {
+		next.Epoch++
+		a.log, a.floor = a.log[:0], next
+		a.logf("discovery began anew: generation %d after %d, epoch %d", gen, before.Generation, next.Epoch)
+	}
+	var fresh []word
+	named := map[version.Key]bool{}
+	for _, x := range e.Entries {
+		k := version.KeyOf(x.Name)
+		named[k] = true
+		if w, news := a.put(k, x, next); news {
+			fresh = append(fresh, w)
+		}
+	}
+	if e.Kind != Changes {
+		for _, k := range a.keys() {
+			if x := a.entries[k]; !named[k] {
+				x.state = version.Gone
+				w, _ := a.put(k, Entry{x.name, x.state, x.startedAt}, next)
+				fresh = append(fresh, w)
+			}
+		}
+	}
+	next.Digest = a.sum.Short()
+	a.vector.List = next
+	if next != before {
+		a.listAt = a.now
+	}
+	if e.Kind != Cached {
+		a.confirmed = a.now
+		a.rec.Confirmed(a.now)
+	}
+	if !a.listed {
+		a.listed, a.floor, a.acts, fresh = true, next, next, nil
+	}
+	a.overtaken()
+	a.rec.Acts(a.now, a.vector)
+	if len(fresh) > 0 {
+		a.push(before, fresh)
+	}
+	a.stand()
+}
+
+// keys lists the own list's servers in a fixed order.
+func (a *Agent) keys() []version.Key {
+	out := make([]version.Key, 0, len(a.entries))
+	for k := range a.entries {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// put takes an entry of the own list; news is whether it takes away work that the
+// list gave before.
+func (a *Agent) put(k version.Key, x Entry, at version.List) (w word, news bool) {
+	old, known := a.entries[k]
+	if known {
+		a.sum.Remove(k, old.state, old.startedAt)
+		if old.state == version.Up {
+			a.up--
+		}
+	}
+	w = word{key: k, state: x.State, list: at}
+	if x.State == version.Gone {
+		delete(a.entries, k)
+	} else {
+		a.entries[k] = entry{x.Name, x.State, x.StartedAt}
+		a.sum.Add(k, x.State, x.StartedAt)
+	}
+	if x.State == version.Up {
+		a.up++
+		a.log = slices.DeleteFunc(a.log, func(o word) bool { return o.key == k })
+		if known && old.state != version.Up {
+			a.rec.Again(a.now, x.Name)
+		}
+		return w, false
+	}
+	if !known && x.State == version.Gone || known && old.state >= x.State {
+		return w, false
+	}
+	a.log = slices.DeleteFunc(a.log, func(o word) bool { return o.key == k })
+	if a.log = append(a.log, w); len(a.log) > mostLog {
+		a.floor = a.log[0].list
+		a.log = slices.Delete(a.log, 0, 1)
+	}
+	if a.listed {
+		a.rec.Withdrawn(a.now, x.Name, x.State, at, version.Own)
+	}
+	return w, true
+}
+
+// overtaken drops words of neighbours that the own source has caught up with: its
+// word goes before theirs.
+func (a *Agent) overtaken() {
+	changed := false
+	for _, k := range a.heldKeys() {
+		h := a.held[k]
+		if h.list.Order(a.vector.List) == version.Newer {
+			continue
+		}
+		delete(a.held, k)
+		changed = changed || h.acted
+		if x, known := a.entries[k]; known && x.state == version.Up && h.acted {
+			a.rec.Again(a.now, x.name)
+		}
+	}
+	if a.acts.Order(a.vector.List) != version.Newer {
+		a.acts = a.vector.List
+	}
+	if changed {
+		a.do(Changed{})
+	}
+}
+
+func (a *Agent) heldKeys() []version.Key {
+	out := make([]version.Key, 0, len(a.held))
+	for k := range a.held {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Out tells whether a server that the own list has up is not to be used, by a
+// neighbour's newer word.
+func (a *Agent) Out(name string) bool {
+	if len(a.held) == 0 {
+		return false
+	}
+	h := a.held[version.KeyOf(name)]
+	return h != nil && h.acted
+}
+
+// Fresh is the time since which a server must have answered to be used; 0 if none
+// need have. It is for a process that has narrowed.
+func (a *Agent) Fresh(now Time) Time {
+	if a.standing != Narrowed && a.standing != Closed {
+		return 0
+	}
+	return max(1, now-a.set.Narrow/2)
+}
+
+// Takes tells whether the process takes new requests.
+func (a *Agent) Takes() bool { return a.standing != Closed }
+
+// Holds tells until when requests are to wait, 0 if they need not: the process
+// stood still and has not heard yet whether what it believes still holds.
+func (a *Agent) Holds() Time { return a.holdUntil }
+
+// Uses tells whether another process's readings and suspicions are to be used.
+func (a *Agent) Uses(from int) bool {
+	if from < 0 || from >= len(a.peers) || !a.peers[from].behind {
+		return true
+	}
+	a.counts.Unused++
+	return false
+}
+
+// message words a datagram as of now.
+func (a *Agent) message(k kind) message {
+	m := message{kind: k, vector: a.vector, age: -1, standing: a.standing, acts: a.acts}
+	m.vector.Clock = a.clock.Now(a.now)
+	if a.confirmed > 0 {
+		m.age = a.now - a.confirmed
+	}
+	return m
+}
+
+func (a *Agent) send(to int, m message) {
+	data := m.append(make([]byte, 0, MaxDatagram))
+	switch m.kind {
+	case hello:
+		a.counts.Hellos++
+	case ask:
+		a.counts.Asks++
+	default:
+		a.counts.Answers++
+		if m.kind == words {
+			a.counts.Words += uint64(len(m.words))
+		}
+	}
+	a.counts.Bytes += uint64(len(data))
+	a.grow()
+	a.peers[to].told = a.now
+	a.do(Tell{to, data})
+}
+
+// grow makes room for all processes of the fleet.
+func (a *Agent) grow() {
+	if n := a.fleet.Size(); n > len(a.peers) {
+		a.peers = append(a.peers, make([]peer, n-len(a.peers))...)
+	}
+}
+
+// Wrap puts what the process has to say anyway to another one into a hello, where
+// that one knows the form, there is room and a hello is due to it.
+func (a *Agent) Wrap(now Time, to int, data []byte) []byte {
+	a.grow()
+	if to < 0 || to >= len(a.peers) || len(data) > MaxDatagram-head {
+		return data
+	}
+	p := &a.peers[to]
+	if p.heard == 0 || now-p.heard > forgetTime || now-p.told < a.set.Hello {
+		return data
+	}
+	a.now = max(a.now, now)
+	m := a.message(hello)
+	m.rest = data
+	p.told = now
+	a.counts.Hellos++
+	a.counts.Bytes += head
+	return m.append(make([]byte, 0, MaxDatagram))
+}
+
+// Unwrap gives what is not the fleet's own of a datagram: all of one in another
+// form, what a hello carries, nothing of the others.
+func Unwrap(data []byte) []byte {
+	if !Ours(data) {
+		return data
+	}
+	if len(data) > head && data[1] == byte(hello) {
+		return data[head:]
+	}
+	return nil
+}
+
+// some draws processes other than this one.
+func (a *Agent) some(n int) []int {
+	size, self := a.fleet.Size(), a.fleet.Self()
+	if size <= 1 {
+		return nil
+	}
+	if n >= size-1 {
+		out := make([]int, 0, size-1)
+		for i := range size {
+			if i != self {
+				out = append(out, i)
+			}
+		}
+		return out
+	}
+	seen := map[int]bool{self: true}
+	out := make([]int, 0, n)
+	for len(out) < n {
+		if i := a.rng.IntN(size); !seen[i] {
+			seen[i] = true
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// tick is the round of checks.
+func (a *Agent) tick() {
+	a.grow()
+	a.hearing = 0
+	for i := range a.peers {
+		if p := &a.peers[i]; p.heard > 0 && a.now-p.heard <= hearWindow {
+			a.hearing++
+		}
+	}
+	if a.now >= a.nextHello {
+		a.nextHello = a.now + Time(float64(a.set.Hello)*(0.75+0.5*a.rng.Float64()))
+		for _, to := range a.some(a.set.HelloTo) {
+			a.send(to, a.message(hello))
+		}
+	}
+	for len(a.repeats) > 0 && a.repeats[0].at <= a.now {
+		r := a.repeats[0]
+		a.repeats = a.repeats[1:]
+		a.tellWords(a.some(a.set.Fanout), r.since, r.words)
+	}
+	a.doubt()
+	a.exclude()
+	a.seek()
+	a.stand()
+}
+
+// hear takes a datagram.
+func (a *Agent) hear(e Heard) {
+	a.grow()
+	if e.From < 0 || e.From >= len(a.peers) || e.From == a.fleet.Self() {
+		a.counts.Malformed++
+		return
+	}
+	m, err := parse(e.Data)
+	if err != nil {
+		a.counts.Malformed++
+		return
+	}
+	p := &a.peers[e.From]
+	if p.heard > 0 && a.now-p.heard < forgetTime && m.vector.Clock <= p.stamp {
+		a.counts.Old++ // doubled, late, or said again by somebody else
+		if m.kind == hello || p.stamp.Sub(m.vector.Clock) > overtake {
+			return
+		}
+		// A part of an answer that another one overtook: what it says is of a
+		// version and still true, but not how its sender stands.
+	} else {
+		a.know(e.From, p, &m)
+	}
+	switch m.kind {
+	case ask:
+		a.answer(e.From, p, m.since)
+	case words:
+		a.takeWords(e.From, p, &m)
+	case whole:
+		a.takeWhole(e.From, p, &m)
+	}
+	a.seek()
+	if a.holdUntil > 0 || a.standing == Closed || a.standing == Narrowed {
+		a.stand()
+	}
+}
+
+// know takes how another process stands by its newest datagram.
+func (a *Agent) know(from int, p *peer, m *message) {
+	a.clock.Hear(a.now, m.vector.Clock)
+	// How long it was on its way: what waited while this process stood still is as
+	// old as it is.
+	off := a.now - m.vector.Clock.Time()
+	p.offset += Time(drift * float64(a.now-p.offsetAt))
+	if p.heard == 0 || a.now-p.heard >= forgetTime || off < p.offset {
+		p.offset = off
+	}
+	p.offsetAt = a.now
+	p.heard, p.stamp, p.vector, p.acts, p.age, p.standing = a.now, m.vector.Clock, m.vector, m.acts, m.age, m.standing
+	p.sent = a.now - (off - p.offset)
+	a.rec.Hears(a.now, from, m.vector)
+	a.sameEpoch(p)
+}
+
+// sameEpoch takes over the count of discovery's beginnings from processes that
+// have the very same list and have counted more: this one started, or was cut
+// off, meanwhile. One alone is not believed where others are heard.
+func (a *Agent) sameEpoch(p *peer) {
+	own, its := a.vector.List, p.vector.List
+	if !a.listed || its.Generation != own.Generation || its.Digest != own.Digest || its.Epoch == own.Epoch || int16(its.Epoch-own.Epoch) < 0 {
+		return
+	}
+	same := 0
+	for i := range a.peers {
+		if o := &a.peers[i]; o.heard > 0 && a.now-o.heard <= hearWindow && o.vector.List == its {
+			same++
+		}
+	}
+	if same < a.quorum() {
+		return
+	}
+	a.logf("takes over epoch %d of discovery from %d neighbours with the same list", its.Epoch, same)
+	if a.acts.Order(own) != version.Newer {
+		a.acts = its
+	}
+	a.vector.List.Epoch, a.log, a.floor = its.Epoch, a.log[:0], its
+	a.overtaken()
+	a.rec.Acts(a.now, a.vector)
+}
+
+// quorum is how many processes must say a thing that one alone is not believed:
+// two, where so many are heard.
+func (a *Agent) quorum() int { return min(2, max(1, a.hearing)) }
+
+// woke takes that the process stood still.
+func (a *Agent) woke(e Woke) {
+	a.rec.Stopped(a.now, e.Gap)
+	a.wokeAt, a.holdUntil = a.now, a.now+a.set.WakeHold
+	a.logf("stood still for %v; all it believes is old until somebody says it is not", e.Gap.Round(time.Millisecond))
+	a.do(AskSource{})
+	for _, to := range a.some(3) {
+		m := a.message(ask)
+		m.since = a.acts
+		a.send(to, m)
+	}
+}
+
+// expected is how many of so many others are heard in a time, when each says hello
+// to some at random and nothing is lost.
+func (a *Agent) expected(others int, in time.Duration) float64 {
+	if others == 0 {
+		return 0
+	}
+	hellos := float64(a.set.HelloTo) * float64(in) / float64(a.set.Hello)
+	return float64(others) * (1 - math.Exp(-hellos/float64(others)))
+}
--- /dev/null
+++ b/fleet/follow/standing.go
@@ -0,0 +1,149 @@
+package follow
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"barrowscale/fleet/version"
+)
+
+// shown is as of when it can be shown that what the process acts on was current:
+// by its own source's last word, or by neighbours whose sources have spoken and
+// whose list is this one's, or whose withdrawals are all in force here. Where
+// several are heard one alone is not enough.
+func (a *Agent) shown() Time {
+	var told []Time
+	for i := range a.peers {
+		p := &a.peers[i]
+		if p.heard == 0 || a.now-p.heard > hearWindow || p.age < 0 {
+			continue
+		}
+		same := p.vector.List == a.vector.List
+		led := p.vector.List.Order(a.vector.List) == version.Newer && a.acts.Order(p.vector.List) != version.Older
+		if same || led {
+			told = append(told, p.sent-p.age)
+		}
+	}
+	best := a.confirmed
+	if n := a.quorum(); len(told) >= n {
+		slices.SortFunc(told, func(x, y Time) int { return int(y - x) })
+		best = max(best, told[n-1])
+	}
+	return best
+}
+
+// sourceSilent tells whether so much of the fleet has no word of its source that it
+// is the source that is behind, and not this process.
+func (a *Agent) sourceSilent(age time.Duration) bool {
+	others := a.fleet.Size() - 1
+	window := min(forgetTime, age-a.set.Narrow/2)
+	if window <= 0 {
+		return false
+	}
+	if a.frozenAt > 0 && a.now-a.frozenAt < frozenFor {
+		return true // guards against one who hears few by chance
+	}
+	silent := 0
+	for i := range a.peers {
+		p := &a.peers[i]
+		if p.heard > 0 && a.now-p.sent <= window && (p.age < 0 || p.age >= a.set.Narrow/2) {
+			silent++
+		}
+	}
+	if float64(silent) < max(1, a.set.Part*a.expected(others, window)) {
+		return false
+	}
+	a.frozenAt = a.now
+	return true
+}
+
+// stand finds out how the process stands.
+func (a *Agent) stand() {
+	age := a.now - max(a.shown(), a.started)
+	if a.holdUntil > 0 && (a.now >= a.holdUntil || a.now-age >= a.wokeAt) {
+		a.holdUntil = 0
+	}
+	to, why := Current, ""
+	switch {
+	case a.fleet.Size() <= 1: // nobody could know better
+	case age < a.set.Narrow:
+	case a.sourceSilent(age):
+		to, why = Held, fmt.Sprintf("nobody's source has spoken for %v", age.Round(time.Second))
+	case age < a.set.Close:
+		to, why = Narrowed, "no word of the own source and of no neighbour that this list is current"
+	default:
+		to, why = Closed, "no word of the own source and of no neighbour that this list is current"
+	}
+	if to == a.standing {
+		a.reopenAt = 0
+		return
+	}
+	if a.standing == Closed && to < Closed { // in turn: those that were closed together do not come back together
+		if a.reopenAt == 0 {
+			a.reopenAt = a.now + Time(a.rng.Float64()*float64(a.set.Reopen))
+		}
+		if a.now < a.reopenAt {
+			return
+		}
+	}
+	a.reopenAt = 0
+	a.logf("%s, after %s: %s", to, a.standing, reason(why))
+	a.standing, a.why = to, why
+	a.rec.Stands(a.now, to.String(), why)
+	a.do(Changed{})
+}
+
+func reason(why string) string {
+	if why == "" {
+		return "what it acts on is current"
+	}
+	return why
+}
+
+// exclude finds out which processes act on what is too old to be listened to. If
+// they are more than a part of those that are heard, none is: then it is they who
+// are the fleet, or a source that is late for most.
+func (a *Agent) exclude() {
+	behind, heard := 0, 0
+	for i := range a.peers {
+		p := &a.peers[i]
+		p.behind = false
+		if p.heard == 0 || a.now-p.heard > hearWindow {
+			continue
+		}
+		heard++
+		own := a.vector.List
+		if a.now-a.listAt > a.set.Behind && p.sent-a.listAt > a.set.Behind && a.now-a.confirmed < a.set.Narrow &&
+			p.acts.Order(own) == version.Older {
+			p.behind = true
+			behind++
+		}
+	}
+	if float64(behind) > (1-a.set.Part)*float64(heard)/2 && behind > 1 {
+		for i := range a.peers {
+			a.peers[i].behind = false
+		}
+	}
+}
+
+// Peer is what an agent knows of another process, for operators.
+type Peer struct {
+	Process  int            `json:"process"`
+	Version  version.Vector `json:"version"`
+	Acts     version.List   `json:"acts"`
+	Standing string         `json:"standing"`
+	Heard    time.Duration  `json:"heard"` // ago
+	Unused   bool           `json:"unused"`
+}
+
+// Peers lists the processes that have ever been heard.
+func (a *Agent) Peers() []Peer {
+	var out []Peer
+	for i := range a.peers {
+		if p := &a.peers[i]; p.heard > 0 {
+			out = append(out, Peer{i, p.vector, p.acts, p.standing.String(), a.now - p.heard, p.behind})
+		}
+	}
+	return out
+}
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/fleet/version"
 	"barrowscale/maintenance"
 )
 
@@ -50,6 +51,8 @@
 	Maintenance []maintenance.Record `json:"maintenance"`
 	Fleet       balance.LearnedFleet `json:"fleet"`
 	Servers     []Learned            `json:"servers"`
+	// Record is what the process has acted on; nil where it keeps no record.
+	Record *version.Record `json:"record,omitempty"`
 }
 
 // Verdict is what a process may do with the state that it finds.
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -18,6 +18,9 @@
 // that counts of it, where its other files put a model on sockets.
 var decide = map[string]string{
 	"balance":              "",
+	"fleet/version":        "",
+	"fleet/follow":         "",
+	"fleet/audit":          "",
 	"handoff":              "",
 	"maintenance":          "",
 	"readings":             "",
@@ -110,7 +113,7 @@
 		t.Fatalf("%v\n%s", err, out)
 	}
 	for _, dep := range strings.Fields(string(out)) {
-		for _, heavy := range []string{"barrowscale/internal/lab", "google.golang.org/", "envoyproxy", "barrowscale/steer", "go-toml", "html/template", "text/template"} {
+		for _, heavy := range []string{"barrowscale/internal/lab", "google.golang.org/", "envoyproxy", "barrowscale/steer", "spf13/cobra", "gonum", "html/template", "text/template"} {
 			if strings.Contains(dep, heavy) {
 				t.Errorf("the node links %s", dep)
 			}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,10 +21,11 @@
 // connections are the pool's.
 type Server struct {
 	ID        balance.ServerID
-	Name      string      // discovery's
-	Gone      bool        // not on the list any more
-	Out       int         // attempts and probes whose outcome is to come
-	Closed    atomic.Bool // draining or gone: nothing new may be sent
+	Name      string       // discovery's
+	Gone      bool         // not on the list any more
+	Out       int          // attempts and probes whose outcome is to come
+	Closed    atomic.Bool  // draining or gone: nothing new may be sent
+	Answered  balance.Time // when it last answered an attempt or a probe; the loop's
 	addr      string
 	startedAt balance.Time
 	idle      []*conn // the warmest last
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -43,6 +43,16 @@
 	Maintain(ctx context.Context, id string, out bool) error
 }
 
+// Fleet is a node that tells what it has acted on.
+type Fleet interface {
+	// FleetRecord gives its record (version.Record) in JSON; ErrOff if it keeps
+	// none.
+	FleetRecord(ctx context.Context) ([]byte, error)
+}
+
+// ErrOff says that a part of the node is switched off.
+var ErrOff = errors.New("the section [fleet] of the operator's file is not there: nothing is recorded")
+
 // Server is the console.
 type Server struct {
 	node Node
@@ -58,6 +68,9 @@
 	mux.HandleFunc("/status/metrics", s.get(s.figures))
 	mux.HandleFunc("/maintenance/enter", s.put(true))
 	mux.HandleFunc("/maintenance/exit", s.put(false))
+	if f, is := n.(Fleet); is {
+		mux.HandleFunc("/fleet/record", s.get(s.fleet(f)))
+	}
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTime, ReadTimeout: callTime, WriteTimeout: callTime + time.Second,
 		MaxHeaderBytes: 8 << 10,
 		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, callerKey{}, c) }}
@@ -111,6 +124,23 @@
 	io.WriteString(w, "takes clients\n")
 }
 
+func (s *Server) fleet(f Fleet) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), wordTime)
+		defer cancel()
+		raw, err := f.FleetRecord(ctx)
+		switch {
+		case errors.Is(err, ErrOff):
+			http.Error(w, err.Error(), http.StatusNotFound)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			w.Write(raw)
+		}
+	}
+}
+
 func (s *Server) figures(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Write(s.node.Figures())
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -111,12 +111,15 @@
 	ctx    context.Context // of all calls
 	end    context.CancelFunc
 	stop   context.CancelFunc // of the watch that runs, if any
+	// Hold is how long one call of a watch may wait for news. It may be changed
+	// before the first call.
+	Hold time.Duration
 }
 
 // New makes a client for discovery at an address. It calls nobody yet.
 func New(addr string, post func(News)) *Client {
 	ctx, end := context.WithCancel(context.Background())
-	return &Client{base: "http://" + addr + "/discovery/hosts", post: post, ctx: ctx, end: end,
+	return &Client{base: "http://" + addr + "/discovery/hosts", post: post, ctx: ctx, end: end, Hold: watchHold,
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 4}}}
 }
 
@@ -143,7 +146,7 @@
 // watch calls until a call fails. The first call does not wait, as the module
 // wants to know whether its subscription stands.
 func (d *Client) watch(ctx context.Context, version uint64) {
-	for hold := time.Duration(0); ; hold = watchHold {
+	for hold := time.Duration(0); ; hold = d.Hold {
 		q := url.Values{"from": {strconv.FormatUint(version, 10)}, "hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)}}
 		list, why := d.call(ctx, "?"+q.Encode(), hold)
 		if ctx.Err() != nil {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -40,6 +40,8 @@
 	EntriesSkipped                                  atomic.Int64 // of lists, as they could not be read
 	Strangers                                       atomic.Int64 // datagrams from no node, or too long
 	WordsTurnedAway                                 atomic.Int64 // datagrams of nodes that were of no use
+
+	fleet atomic.Pointer[[]Named]
 }
 
 // New makes the figures of a node that serves these classes.
@@ -100,5 +102,20 @@
 	}{{"open_requests", &s.Open}, {"registry_entries", &s.Registry}, {"out_of_rotation", &s.OutOfRotation}} {
 		fmt.Fprintf(&b, "app.%s:%d|g\n", g.name, g.value.Load())
 	}
+	if more := s.fleet.Load(); more != nil {
+		for _, f := range *more {
+			fmt.Fprintf(&b, "app.fleet.%s:%d|%s\n", f.Name, f.Value, f.Kind)
+		}
+	}
 	return b.Bytes()
 }
+
+// Named is a figure of a part that is not always on. Kind is "c" for one that
+// only rises, "g" for another.
+type Named struct {
+	Name, Kind string
+	Value      int64
+}
+
+// SetFleet takes the fleet's figures, which are then told with the others.
+func (s *Set) SetFleet(f []Named) { s.fleet.Store(&f) }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -156,6 +156,8 @@
 		w.Header().Set("Connection", "close") // guards against checks that stay and fill the budget
 		if f.draining.Load() {
 			http.Error(w, "draining", http.StatusServiceUnavailable)
+		} else if !f.node.Ready() {
+			http.Error(w, "takes no clients", http.StatusServiceUnavailable)
 		}
 		return
 	}
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -41,6 +41,9 @@
 		return
 	}
 	n.byHand = maintenance.New(found.Maintenance)
+	if n.fleet != nil && found.Record != nil {
+		n.fleet.agent.Recorder().Former(*found.Record)
+	}
 	if len(found.List) > 0 && found.Generation >= n.cfg.Known.Generation {
 		n.cfg.Known, n.version, n.listAt = listOf(found), found.Generation, found.ListAt
 	}
@@ -69,6 +72,10 @@
 	for _, e := range n.listed {
 		s.List = append(s.List, handoff.Entry(e))
 	}
+	if n.fleet != nil {
+		rec := n.fleet.agent.Recorder().Take(n.now())
+		s.Record = &rec
+	}
 	fleet, servers := n.module.Learned()
 	s.Fleet = fleet
 	for id, l := range servers {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -31,6 +31,8 @@
 	Peers                   []string // by node number, this node's own among them
 	Known                   discovery.List
 	Settings                balance.Settings
+	Fleet                   *Fleet // nil: the node neither tells nor asks others what it acts on
+	settingsDigest          uint16
 }
 
 // LoadConfig reads and checks the configuration file.
@@ -102,6 +104,7 @@
 	if c.Settings, err = wire.DecodeSettings(in.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	c.settingsDigest = digestOf(in.Settings)
 	s := c.Settings
 	if len(s.Classes) == 0 || s.ConnectTimeout <= 0 || s.ConnIdle <= 0 || s.MaxAttempts <= 0 || s.MaxOpen <= 0 {
 		return nil, errors.New("settings: want classes, and caps for connect_timeout_ns, conn_idle_ns, max_attempts and most_held")
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,377 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/fleet/follow"
+	"barrowscale/fleet/version"
+	"barrowscale/internal/backend"
+	"barrowscale/internal/console"
+	"barrowscale/internal/discovery"
+	"barrowscale/internal/figures"
+	"barrowscale/maintenance"
+)
+
+// Fleet switches on that a node tells the others what it acts on, and keeps up
+// with them (docs/audit.md).
+type Fleet struct {
+	follow.Settings
+	RecordFile  string        // takes the record; empty: the console alone tells it
+	RecordEvery time.Duration // how often
+}
+
+const (
+	holdsPerNarrow = 3        // calls of a watch that end within the time after which a node narrows
+	mostRecords    = 16 << 20 // bytes of a record file; then it is set aside and begun anew
+	closedHoldOff  = time.Second
+)
+
+// fleet is the node's side of package follow: it carries out what the agent
+// decides. All but what is atomic is the loop's.
+type fleet struct {
+	cfg     *Fleet
+	agent   *follow.Agent
+	waiting []*Request // that came while the node waits to hear whether what it believes still holds
+	changed bool
+	used    uint64 // digest of the servers that may be used while it has narrowed
+	turnAt  atomic.Int64
+	shut    atomic.Bool
+}
+
+// What the loop is told of the fleet.
+type (
+	fleetHeard   follow.Heard
+	recordWanted chan version.Record
+)
+
+// newFleet gives nil where the fleet is switched off or datagrams are not allowed.
+func newFleet(cfg *Config, now balance.Time) *fleet {
+	if cfg.Fleet == nil || cfg.PeerListen == "" || !cfg.Settings.MayMessage {
+		return nil
+	}
+	f := &fleet{cfg: cfg.Fleet, agent: follow.New(cfg.Fleet.Settings, follow.Fixed{Nodes: len(cfg.Peers), Number: cfg.Settings.Self},
+		now, cfg.Seed, cfg.Name, cfg.settingsDigest, buildDigest())}
+	f.turnAt.Store(int64(now))
+	return f
+}
+
+// digestOf gives the digest of settings, without what differs from node to node.
+func digestOf(settings []byte) uint16 {
+	var all map[string]any
+	if json.Unmarshal(settings, &all) != nil {
+		return version.Digest(settings)
+	}
+	delete(all, "slot_no")
+	delete(all, "zone")
+	same, err := json.Marshal(all) // in the order of the keys
+	if err != nil {
+		return version.Digest(settings)
+	}
+	return version.Digest(same)
+}
+
+func buildDigest() uint16 {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return 0
+	}
+	text := info.Main.Version
+	for _, s := range info.Settings {
+		if strings.HasPrefix(s.Key, "vcs.") {
+			text += " " + s.Value
+		}
+	}
+	return version.Digest([]byte(text))
+}
+
+// hold is how long a call of the watch may wait: the answer shows that the list is
+// current, also when there is no news.
+func (f *fleet) hold() time.Duration { return f.cfg.Narrow / holdsPerNarrow }
+
+// stoodStill tells whether the loop has not run for so long that what it believes
+// must not be acted on before it has looked.
+func (f *fleet) stoodStill(now balance.Time) bool {
+	return now-balance.Time(f.turnAt.Load()) > f.cfg.Wake
+}
+
+// turn marks a turn of the loop. After a gap the process stood still: all that it
+// believes is old, and what has run out of time is answered first.
+func (n *Node) turn() {
+	if n.fleet == nil {
+		return
+	}
+	now := n.now()
+	gap := now - balance.Time(n.fleet.turnAt.Load())
+	if gap > n.fleet.cfg.Wake {
+		for _, r := range n.requests {
+			if time.Until(r.Deadline) <= 0 && n.finish(r, Answer{Status: http.StatusBadGateway}) {
+				n.handle(balance.RequestAbandoned{ID: r.ID})
+				n.forget(r)
+			}
+		}
+		n.fleetDo(follow.Woke{Gap: gap})
+	}
+	n.fleet.turnAt.Store(int64(now))
+}
+
+// fleetDo gives an event to the agent and carries out what it wants.
+func (n *Node) fleetDo(e follow.Event) {
+	f := n.fleet
+	for _, a := range f.agent.Handle(n.now(), e) {
+		switch a := a.(type) {
+		case follow.Tell:
+			n.peers.send(balance.SendMessage{To: a.To, Data: a.Data})
+		case follow.Changed:
+			f.changed = true
+		case follow.AskSource:
+			n.source.Subscribe(false, n.version)
+			n.source.Subscribe(true, n.version)
+		case follow.Log:
+			log.Print("fleet: ", a.Line)
+		}
+	}
+	if _, listed := e.(follow.Listed); !listed { // there the list itself is told next
+		n.fleetChanged()
+	}
+	f.shut.Store(!f.agent.Takes())
+	n.fleetRelease(false)
+}
+
+// fleetChanged tells the module anew what may be used, if that has changed.
+func (n *Node) fleetChanged() {
+	if n.fleet != nil && n.fleet.changed {
+		n.fleet.changed = false
+		n.again()
+	}
+}
+
+// fleetTick is the round of checks.
+func (n *Node) fleetTick() {
+	if n.fleet == nil {
+		return
+	}
+	n.fleetDo(follow.Ticked{})
+	if n.fleet.agent.Fresh(n.now()) == 0 {
+		return
+	}
+	used := uint64(0)
+	for name := range n.listed {
+		if b := n.servers[n.ids[name]]; !n.fleetOut(name, b) {
+			used += uint64(version.KeyOf(name))
+		}
+	}
+	if used != n.fleet.used {
+		n.fleet.used = used
+		n.again()
+	}
+}
+
+// fleetList tells the agent of a word of discovery.
+func (n *Node) fleetList(e discovery.News) {
+	if n.fleet == nil {
+		return
+	}
+	kinds := map[balance.ListKind]follow.Kind{balance.ListChanges: follow.Changes, balance.ListFull: follow.Full, balance.ListCached: follow.Cached}
+	states := map[balance.ServerState]version.State{balance.Ready: version.Up, balance.Draining: version.Draining, balance.Gone: version.Gone}
+	l := follow.Listed{Kind: kinds[e.Kind], Generation: e.List.Generation}
+	for _, x := range e.List.Instances {
+		l.Entries = append(l.Entries, follow.Entry{Name: x.InstanceID, State: states[discovery.Lifecycles[x.Lifecycle]],
+			StartedAt: time.Duration(x.StartedAtMs) * time.Millisecond})
+	}
+	n.fleetDo(l)
+}
+
+// fleetOut tells whether a server that the list has up is not to be used, by a
+// neighbour's word or for want of a sign that it still is up.
+func (n *Node) fleetOut(name string, b *backend.Server) bool {
+	if n.fleet == nil {
+		return false
+	}
+	fresh := n.fleet.agent.Fresh(n.now())
+	return n.fleet.agent.Out(name) || fresh > 0 && (b == nil || b.Answered < fresh)
+}
+
+// admit tells whether a request goes on to the module now. One that does not waits,
+// or has been refused.
+func (n *Node) admit(r *Request) bool {
+	f := n.fleet
+	if until := f.agent.Holds(); until > 0 && n.now() < until && len(f.waiting) < n.cfg.Settings.MaxOpen {
+		f.waiting = append(f.waiting, r)
+		return false
+	}
+	if f.agent.Takes() {
+		return true
+	}
+	f.agent.Recorder().RefusedOld()
+	a := Answer{Status: http.StatusServiceUnavailable}
+	if n.cfg.Settings.HoldOffs {
+		a.HoldOff = min(closedHoldOff, n.cfg.Settings.MaxHoldOff)
+	}
+	n.finish(r, a)
+	return false
+}
+
+// fleetRelease lets requests go on that waited, or, at the end, refuses them:
+// nothing of them was sent.
+func (n *Node) fleetRelease(end bool) {
+	f := n.fleet
+	if f == nil || len(f.waiting) == 0 {
+		return
+	}
+	if until := f.agent.Holds(); !end && until > 0 && n.now() < until {
+		return
+	}
+	waiting := f.waiting
+	f.waiting = nil
+	for _, r := range waiting {
+		switch {
+		case r.over.Load(): // its client is gone
+		case end || time.Until(r.Deadline) <= 0:
+			n.finish(r, Answer{Status: http.StatusServiceUnavailable})
+		default:
+			n.arrive(r)
+		}
+	}
+}
+
+// fleetWorded tells the agent which words of maintenance are in force.
+func (n *Node) fleetWorded() {
+	if n.fleet == nil {
+		return
+	}
+	digest := uint16(0)
+	if records := n.byHand.Records(); len(records) > 0 {
+		digest = wordsDigest(records)
+	}
+	n.fleetDo(follow.Worded{Digest: digest})
+}
+
+func wordsDigest(records []maintenance.Record) uint16 {
+	raw, err := json.Marshal(records)
+	if err != nil {
+		return 1
+	}
+	return version.Digest(raw)
+}
+
+// fleetFigures publishes the fleet's figures.
+func (n *Node) fleetFigures() {
+	if n.fleet == nil {
+		return
+	}
+	a := n.fleet.agent
+	c, v := a.Counts(), a.Vector()
+	standing, _ := a.Standing()
+	n.figures.SetFleet([]figures.Named{
+		{Name: "standing", Kind: "g", Value: int64(standing)}, {Name: "epoch", Kind: "g", Value: int64(v.List.Epoch)},
+		{Name: "generation", Kind: "g", Value: int64(v.List.Generation)}, {Name: "acts_on", Kind: "g", Value: int64(a.Acts().Generation)},
+		{Name: "hellos", Kind: "c", Value: int64(c.Hellos)}, {Name: "asks", Kind: "c", Value: int64(c.Asks)},
+		{Name: "answers", Kind: "c", Value: int64(c.Answers)}, {Name: "bytes", Kind: "c", Value: int64(c.Bytes)},
+		{Name: "acted", Kind: "c", Value: int64(c.Acted)}, {Name: "over_bound", Kind: "c", Value: int64(c.OverBound)},
+		{Name: "doubted", Kind: "c", Value: int64(c.Doubted)}, {Name: "malformed", Kind: "c", Value: int64(c.Malformed)},
+		{Name: "old", Kind: "c", Value: int64(c.Old)}, {Name: "unused", Kind: "c", Value: int64(c.Unused)},
+		{Name: "dropped", Kind: "c", Value: int64(c.Dropped)},
+	})
+}
+
+// record gives what the node has acted on.
+func (n *Node) record(ctx context.Context) (version.Record, error) {
+	if n.fleet == nil {
+		return version.Record{}, console.ErrOff
+	}
+	want := make(recordWanted, 1)
+	select {
+	case n.events <- want:
+	case <-n.done:
+		return version.Record{}, errBusy
+	case <-ctx.Done():
+		return version.Record{}, errBusy
+	}
+	select {
+	case r := <-want:
+		return r, nil
+	case <-n.done:
+		return version.Record{}, errBusy
+	case <-ctx.Done():
+		return version.Record{}, errBusy
+	}
+}
+
+// FleetRecord gives it in JSON, for operators.
+func (n *Node) FleetRecord(ctx context.Context) ([]byte, error) {
+	r, err := n.record(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(r)
+}
+
+// recordAll writes the record to the operator's file, until the loop has ended.
+func (n *Node) recordAll() {
+	every := time.NewTicker(n.fleet.cfg.RecordEvery)
+	defer every.Stop()
+	failed := false
+	for {
+		select {
+		case <-every.C:
+		case <-n.done:
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), n.fleet.cfg.RecordEvery)
+		r, err := n.record(ctx)
+		cancel()
+		if err == nil {
+			err = appendRecord(n.fleet.cfg.RecordFile, &r)
+		}
+		if err != nil && !failed {
+			log.Printf("fleet: the record is not written: %v", err)
+		}
+		failed = err != nil
+	}
+}
+
+// recordEnd writes the record a last time, as that of a process that ended in
+// order.
+func (n *Node) recordEnd() {
+	if n.fleet == nil || n.fleet.cfg.RecordFile == "" {
+		return
+	}
+	r := n.fleet.agent.Recorder().Take(n.now())
+	r.Ended = true
+	if err := appendRecord(n.fleet.cfg.RecordFile, &r); err != nil {
+		log.Printf("fleet: the last record is not written: %v", err)
+	}
+}
+
+// appendRecord adds a record to a file. A file that has become too long is set
+// aside under one other name, so that two files are kept at most.
+func appendRecord(path string, r *version.Record) error {
+	line, err := version.AppendLine(nil, r)
+	if err != nil {
+		return err
+	}
+	if st, err := os.Stat(path); err == nil && st.Size()+int64(len(line)) > mostRecords {
+		if err := os.Rename(path, path+".old"); err != nil {
+			return fmt.Errorf("set aside: %w", err)
+		}
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(line); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/fleet/follow"
+	"barrowscale/fleet/version"
 	"barrowscale/handoff"
 	"barrowscale/internal/backend"
 	"barrowscale/internal/discovery"
@@ -69,6 +71,7 @@
 	keptMu   sync.Mutex           // held while a state is written
 	kept     balance.Time         // when the one that was written last was made
 	outcome  balance.AttemptEnded // the last one, kept from call to call: no garbage
+	fleet    *fleet               // nil: off
 }
 
 // attempt is one send of a request to one backend.
@@ -78,7 +81,8 @@
 	server  *backend.Server
 	sentAt  time.Time // the attempt's goroutine's
 	cancel  func()
-	timer   *time.Timer // ends it when its time is over
+	sends   *version.Sends // nil: not counted
+	timer   *time.Timer    // ends it when its time is over
 }
 
 // What the loop is told, besides *Request, discovery.News and the module's own
@@ -113,12 +117,17 @@
 		words: make(chan word), listed: map[string]discovery.Entry{}, byHand: maintenance.New(nil), figures: figures.New(classNames(cfg.Settings)),
 		ids: map[string]balance.ServerID{}, version: cfg.Known.Generation,
 		pool: backend.NewPool(cfg.BackendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)}
+	n.fleet = newFleet(cfg, n.now())
 	n.source = n.discover(cfg.Discovery)
 	return n
 }
 
 func (n *Node) discover(addr string) Source {
-	return discovery.New(addr, func(news discovery.News) { n.post(news) })
+	c := discovery.New(addr, func(news discovery.News) { n.post(news) })
+	if n.fleet != nil {
+		c.Hold = n.fleet.hold()
+	}
+	return c
 }
 
 // Done is closed when the node has ended.
@@ -134,7 +143,7 @@
 	if n.peers != nil {
 		defer n.peers.conn.Close()
 		log.Printf("%s takes datagrams on %s", n.cfg.Name, n.peers.conn.LocalAddr())
-		go n.peers.receive(n.post, &n.figures.Strangers)
+		go n.peers.receive(n.post, n.fleet != nil, &n.figures.Strangers)
 	}
 	n.follow(discovery.News{Kind: balance.ListCached, List: n.cfg.Known}) // before the first word of an operator
 	loopCtx, stopLoop := context.WithCancel(context.Background())
@@ -142,6 +151,9 @@
 	if n.keeper != nil {
 		go n.keepAll()
 	}
+	if n.fleet != nil && n.fleet.cfg.RecordFile != "" {
+		go n.recordAll()
+	}
 	n.ready.Store(true)
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
@@ -191,6 +203,7 @@
 	defer reap.Stop()
 	defer look.Stop()
 	for {
+		n.turn()
 		select {
 		case w := <-n.words: // ahead of all that waits in the other queue
 			n.maintain(w)
@@ -201,13 +214,17 @@
 		case w := <-n.words:
 			n.maintain(w)
 		case <-look.C:
+			n.turn()
+			n.fleetTick()
 			n.look()
 		case e := <-n.events:
+			n.turn()
 			n.take(e)
 		case <-reap.C:
 			n.pool.Reap()
 			n.byHand.Forget(n.now(), n.cfg.Settings.ColdTime)
 		case <-ctx.Done():
+			n.recordEnd()
 			return
 		}
 	}
@@ -228,6 +245,9 @@
 	case attemptBegun:
 		n.begun(e)
 	case probeDone:
+		if e.Code == balance.OK {
+			e.Server.Answered = n.now()
+		}
 		n.handle(e.ProbeEnded)
 		e.Server.Out--
 		n.drop(e.Server)
@@ -239,10 +259,19 @@
 		n.adopt(e.State)
 	case overheard:
 		n.overhear(e.State)
+	case fleetHeard:
+		n.fleetDo(follow.Heard(e))
+	case recordWanted:
+		e <- n.fleet.agent.Recorder().Take(n.now())
+	case balance.MessageReceived:
+		if n.fleet == nil || n.fleet.agent.Uses(e.From) {
+			n.handle(e)
+		}
 	case reload:
 		n.move(e.discovery)
 	case failAll:
 		n.closed = true
+		n.fleetRelease(true)
 		for _, r := range n.requests {
 			if n.finish(r, Answer{Status: http.StatusBadGateway}) {
 				n.handle(balance.RequestAbandoned{ID: r.ID})
@@ -263,6 +292,9 @@
 		r.answer <- Answer{Status: http.StatusServiceUnavailable} // as the settings say: before it reaches the module
 		return
 	}
+	if n.fleet != nil && !n.admit(r) {
+		return
+	}
 	n.requests[r.ID] = r
 	r.Patience, r.Pending = time.Until(r.Deadline), r.Rest != nil
 	n.handle(&r.RequestArrived)
@@ -272,6 +304,7 @@
 	r := e.request
 	r.out--
 	if e.Code == balance.OK {
+		e.server.Answered = n.now()
 		n.finish(r, Answer{Status: http.StatusOK, Body: e.Body})
 	}
 	n.outcome = balance.AttemptEnded{ID: r.ID, Attempt: e.number, Server: e.server.ID, Over: r.over.Load(),
@@ -340,7 +373,9 @@
 			n.listed[entry.InstanceID] = entry
 		}
 	}
+	n.fleetList(e)
 	n.apply(e.Kind, e.List.Instances)
+	n.fleetChanged()
 }
 
 // apply tells of entries of the list as maintenance lets them be seen.
@@ -354,6 +389,9 @@
 			Cell: entry.Cell, State: discovery.Lifecycles[entry.Lifecycle], Size: entry.Weight,
 			StartedAt: time.Duration(entry.StartedAtMs) * time.Millisecond})
 		b := n.servers[id]
+		if seen.State == balance.Ready && n.fleetOut(entry.InstanceID, b) {
+			seen.State = balance.Draining
+		}
 		if b == nil {
 			b = &backend.Server{ID: id, Name: entry.InstanceID}
 			n.servers[id] = b
@@ -429,6 +467,9 @@
 		case balance.Probe:
 			n.probe(a)
 		case balance.SendMessage:
+			if n.fleet != nil && !a.ToAll {
+				a.Data = n.fleet.agent.Wrap(n.now(), a.To, a.Data)
+			}
 			n.peers.send(a)
 		case balance.Subscribe:
 			n.source.Subscribe(a.On, n.version)
@@ -461,6 +502,9 @@
 		return
 	}
 	a := &attempt{request: r, number: len(r.attempts), server: b, sentAt: time.Now()}
+	if n.fleet != nil {
+		a.sends = n.fleet.agent.Recorder().Sends(b.Name)
+	}
 	timeout := time.Until(r.Deadline)
 	if s.Timeout != 0 {
 		timeout = min(timeout, s.Timeout)
@@ -500,10 +544,16 @@
 	return n.pool.Exchange(ctx, b, backend.Call{
 		Request: req,
 		MayWrite: func() bool {
-			if b.Closed.Load() || r.over.Load() || ctx.Err() != nil {
+			if b.Closed.Load() || r.over.Load() || ctx.Err() != nil || n.fleet != nil && n.fleet.stoodStill(n.now()) {
 				return false
 			}
-			return r.Rest == nil || !r.spent.Swap(true) // guards against a second reader of what can be read once
+			if r.Rest != nil && r.spent.Swap(true) { // guards against a second reader of what can be read once
+				return false
+			}
+			if a.sends != nil {
+				a.sends.Sent(n.now())
+			}
+			return true
 		},
 		Wrote: func() {
 			n.figures.Relayed.Add(1)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -140,7 +140,7 @@
 	defer p.conn.Close()
 	got := make(chan any, 10)
 	var strangers atomic.Int64
-	go p.receive(func(e any) { got <- e }, &strangers)
+	go p.receive(func(e any) { got <- e }, false, &strangers)
 	to := p.conn.LocalAddr()
 	stranger.WriteTo([]byte("no"), to)
 	peer.WriteTo(make([]byte, maxDatagram+1), to)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -37,8 +37,9 @@
 	return names
 }
 
-// Ready tells whether this process takes clients.
-func (n *Node) Ready() bool { return n.ready.Load() }
+// Ready tells whether this process takes clients: not before it runs, nor while
+// it can't show that what it acts on is current.
+func (n *Node) Ready() bool { return n.ready.Load() && (n.fleet == nil || !n.fleet.shut.Load()) }
 
 // Figures gives the figures as text.
 func (n *Node) Figures() []byte { return n.figures.Text() }
@@ -104,6 +105,7 @@
 		h.err = n.byHand.Exit(w.id, n.now())
 	}
 	if h.err == nil {
+		n.fleetWorded()
 		n.again()
 		h.state = n.state()
 	}
@@ -129,6 +131,7 @@
 			avoided++
 		}
 	}
+	n.fleetFigures()
 	n.figures.WordsTurnedAway.Store(n.module.TurnedAway())
 	n.figures.Registry.Store(int64(len(n.listed)))
 	n.figures.OutOfRotation.Store(int64(avoided))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"barrowscale/balance"
+	"barrowscale/fleet/follow"
 )
 
 const maxDatagram = 256
@@ -60,8 +61,9 @@
 }
 
 // receive passes on datagrams until the socket is closed. One from a
-// stranger, or too long, is dropped and counted.
-func (p *peers) receive(post func(any), strangers *atomic.Int64) {
+// stranger, or too long, is dropped and counted. fleet is whether the node takes
+// those of package follow.
+func (p *peers) receive(post func(any), fleet bool, strangers *atomic.Int64) {
 	buf := make([]byte, maxDatagram+1)
 	for {
 		n, from, err := p.conn.ReadFrom(buf)
@@ -73,7 +75,14 @@
 			strangers.Add(1)
 			continue
 		}
-		post(balance.MessageReceived{From: number, Data: append([]byte(nil), buf[:n]...)})
+		data := append([]byte(nil), buf[:n]...)
+		if fleet && follow.Ours(data) {
+			post(fleetHeard{From: number, Data: data})
+			if data = follow.Unwrap(data); len(data) == 0 {
+				continue
+			}
+		}
+		post(balance.MessageReceived{From: number, Data: data})
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 // File is the operator's file.
 type File struct {
 	Control *Control `toml:"control"`
+	Fleet   *Fleet   `toml:"fleet"`
 
 	path string
 	raw  []byte
@@ -93,9 +94,15 @@
 // Parse reads the text of a file.
 func Parse(path string, raw []byte) (*File, error) {
 	f := &File{path: path, raw: raw}
-	if err := strict.Decode(path, raw, f, "docs/xds.md"); err != nil {
+	if err := strict.Decode(path, raw, f, "docs/xds.md and docs/audit.md"); err != nil {
 		return nil, err
 	}
+	if f.Fleet != nil {
+		f.Fleet.defaults()
+		if key, text := f.Fleet.check(); text != "" {
+			return nil, &strict.Error{File: path, Line: strict.LineOf(raw, "fleet."+key), Text: text}
+		}
+	}
 	if f.Control != nil {
 		f.Control.defaults()
 		if key, text := f.Control.check(); text != "" {
