--- /dev/null
+++ b/fleet/audit/behind.go
@@ -0,0 +1,223 @@
+package audit
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"barrowscale/fleet/version"
+)
+
+// fresh is how old a record or a word may be to tell how a process stands now.
+const fresh = 4 * time.Second
+
+// State says how a process stands.
+type State string
+
+// The states.
+const (
+	UpToDate State = "current"
+	IsBehind State = "behind"
+	Led      State = "led" // behind by its own source, and all withdrawals are in force
+	Ended    State = "ended"
+	NotKnown State = "unknown"
+)
+
+// Process says how one process of the fleet stands, as of the newest record.
+type Process struct {
+	Process  string         `json:"process"`
+	Number   int            `json:"number"`
+	State    State          `json:"state"`
+	Version  version.Vector `json:"version"` // that it acts on, as far as is known
+	Reached  version.List   `json:"reached"` // all withdrawals up to it are in force there
+	By       int            `json:"by"`      // generations that it is behind; -1: not comparable
+	Since    version.Stamp  `json:"since"`   // when the fleet went ahead of it; 0: it did not
+	Why      string         `json:"why"`
+	Sure     Sure           `json:"sure"`
+	Standing string         `json:"standing"` // as it judged itself; empty: not known
+	Seen     version.Stamp  `json:"seen"`     // last sign of it
+	Clock    Clock          `json:"clock"`
+}
+
+// Newest is the newest version of the list that counts: the newest that two
+// processes act on, or say that they do, as one alone may be wrong.
+func (a *Audit) Newest() version.List {
+	claims := map[version.List]map[int]bool{}
+	claim := func(v version.List, by int) {
+		v.Digest = 0
+		if claims[v] == nil {
+			claims[v] = map[int]bool{}
+		}
+		claims[v][by] = true
+	}
+	for n, l := range a.byNumber {
+		if len(l.Acts) > 0 {
+			claim(l.Acts[len(l.Acts)-1].Version.List, n)
+		}
+		for _, h := range l.Heard {
+			claim(h.Version.List, h.Process)
+		}
+	}
+	var best version.List
+	found := false
+	for v := range claims {
+		backers := map[int]bool{}
+		for o, by := range claims {
+			if o.Epoch == v.Epoch && o.Order(v) != version.Older {
+				for n := range by {
+					backers[n] = true
+				}
+			}
+		}
+		if len(backers) >= min(2, a.o.Size) && (!found || v.Order(best) == version.Newer) {
+			best, found = v, true
+		}
+	}
+	return best
+}
+
+// wentAhead is when the first process acted on a version that is newer than one.
+func (a *Audit) wentAhead(v version.List) version.Stamp {
+	var at version.Stamp
+	for _, l := range a.lives {
+		if !l.clock.Trusted {
+			continue
+		}
+		for _, i := range l.Acts {
+			if i.Version.List.Order(v) == version.Newer && (at == 0 || i.From < at) {
+				at = i.From
+			}
+		}
+	}
+	return at
+}
+
+// Processes says how each process of the fleet stands.
+func (a *Audit) Processes() []Process {
+	newest := a.Newest()
+	var out []Process
+	for n := range a.o.Size {
+		p := Process{Process: a.name(n), Number: n, State: NotKnown, Sure: Unknown, By: -1}
+		l := a.byNumber[n]
+		word, by := a.lastWord(n)
+		switch {
+		case l == nil && word.At == 0:
+			p.Why = "no record of it, and no other process on record heard it in a form that it knows: it crashed, is cut off, or its build is too old"
+		case l == nil:
+			p.Version, p.Seen = word.Version, word.At
+			a.byOthers(&p, word, by, newest)
+		default:
+			a.byRecord(&p, l, word, newest)
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// lastWord gives the newest word of a process that others have on record, and who
+// has it.
+func (a *Audit) lastWord(n int) (word version.Heard, by *life) {
+	for _, l := range a.lives {
+		if h, ok := l.heard(n); ok && l.clock.Trusted && h.At > word.At {
+			word, by = h, l
+		}
+	}
+	return word, by
+}
+
+// byOthers judges a process that has no record by what others heard of it.
+func (a *Audit) byOthers(p *Process, word version.Heard, by *life, newest version.List) {
+	if a.now.Sub(word.At) > fresh {
+		p.Why = fmt.Sprintf("no record of it; %s heard it last %v ago, and it has crashed, is stopped or cut off since", by.Process, a.now.Sub(word.At).Round(100*time.Millisecond))
+		return
+	}
+	a.place(p, word.Version.List, newest)
+	p.Sure, p.Why = Likely, "no record of it; by its last word to "+by.Process
+	if p.Version.Form < version.Form {
+		p.Why += ", which is of an older build"
+	}
+}
+
+// place says how a version stands to the newest.
+func (a *Audit) place(p *Process, v, newest version.List) {
+	p.State, p.By = UpToDate, 0
+	if v.Order(newest) != version.Older {
+		return
+	}
+	p.State, p.Since = IsBehind, a.wentAhead(v)
+	if by, same := v.Behind(newest); same {
+		p.By = by
+	} else {
+		p.By = -1
+	}
+}
+
+// byRecord judges a process by its own record, and by what others say of the time
+// after it.
+func (a *Audit) byRecord(p *Process, l *life, word version.Heard, newest version.List) {
+	p.Clock, p.Reached, p.Seen = l.clock, l.Reached, max(l.At, word.At)
+	if n := len(l.Acts); n > 0 {
+		p.Version = l.Acts[n-1].Version
+	}
+	if n := len(l.Changes); n > 0 {
+		p.Standing = l.Changes[n-1].To
+	}
+	switch silent := a.now.Sub(l.At); {
+	case !l.clock.Trusted:
+		p.Why = l.clock.Why
+		return
+	case l.Ended:
+		p.State, p.Sure, p.Why = Ended, Certain, "it ended in order at "+clockOf(l.At)
+		return
+	case silent > fresh && a.now.Sub(word.At) > fresh:
+		p.Why = fmt.Sprintf("its record ends %v before the newest one and nobody heard it since: it crashed, is stopped, or its record was not to be had", silent.Round(100*time.Millisecond))
+		return
+	case silent > fresh && word.Version.List.Order(p.Version.List) == version.Newer:
+		p.Version = word.Version
+		a.place(p, word.Version.List, newest)
+		p.Sure, p.Why = Likely, "its record is old; by its last word to others"
+		return
+	}
+	a.place(p, p.Version.List, newest)
+	p.Sure = Certain
+	if p.State != IsBehind {
+		if a.now.Sub(l.Confirmed) > fresh && l.Confirmed != 0 {
+			p.Sure, p.Why = Likely, fmt.Sprintf("its own source has been silent for %v", a.now.Sub(l.Confirmed).Round(100*time.Millisecond))
+		}
+		return
+	}
+	if l.Reached.Order(newest) != version.Older {
+		p.State = Led
+	}
+	p.Why = a.why(l, p)
+	if a.now.Sub(p.Since) < time.Second {
+		p.Sure, p.Why = Likely, "the newest version is younger than a second"
+	}
+}
+
+// why says why a process is behind, as far as its record and the others' tell.
+func (a *Audit) why(l *life, p *Process) string {
+	heardAny := slices.ContainsFunc(l.Heard, func(h version.Heard) bool { return l.At.Sub(h.At) < fresh })
+	var lost time.Duration
+	stops := 0
+	for _, s := range l.Stops {
+		if s.Until > p.Since {
+			lost += s.For
+			stops++
+		}
+	}
+	switch {
+	case stops > 0 && l.Stops[len(l.Stops)-1].For >= time.Second:
+		return fmt.Sprintf("stopped: it stood still for %v in all since then", lost.Round(time.Millisecond))
+	case stops > 2:
+		return fmt.Sprintf("starved: it did not run for %v in all, %d times, since then", lost.Round(time.Millisecond), stops)
+	case l.Confirmed == 0 || l.At.Sub(l.Confirmed) > fresh/2:
+		if !heardAny {
+			return "cut off: neither its source nor another process is heard there"
+		}
+		return "cut off from its source, which it heard last at " + clockOf(l.Confirmed)
+	case l.ClockRefused > 0 && l.clock.Shift == 0:
+		return "its source speaks and is itself behind, or another discovery; clocks were not believed there"
+	}
+	return "its own source speaks, and is itself behind or another discovery"
+}
--- /dev/null
+++ b/fleet/audit/breaks.go
@@ -0,0 +1,229 @@
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"barrowscale/fleet/version"
+)
+
+// episode is one withdrawal of a server, from the first process that knew until it
+// is given back.
+type episode struct {
+	server string
+	state  version.State
+	list   version.List // the first version that says so
+	back   version.List // the first that gives it back
+	given  bool
+	first  version.Stamp // when the first process knew of its own source; of any, if none did
+	source bool          // one did
+	again  version.Stamp // when the first process had it back; 0: none had
+	knows  []knower      // by time
+}
+
+type knower struct {
+	*life
+	version.Withdrawal
+}
+
+// find puts the processes' withdrawals together.
+func (a *Audit) find() {
+	by := map[string][]knower{}
+	for _, l := range a.lives {
+		for _, w := range l.Withdrawals {
+			by[w.Server] = append(by[w.Server], knower{l, w})
+		}
+	}
+	for server, all := range by {
+		slices.SortFunc(all, func(x, y knower) int {
+			switch x.List.Order(y.List) {
+			case version.Older:
+				return -1
+			case version.Newer:
+				return 1
+			}
+			return cmp.Or(cmp.Compare(x.Known, y.Known), cmp.Compare(x.Number, y.Number))
+		})
+		var e *episode
+		for _, k := range all {
+			if e == nil || e.given && k.List.Order(e.back) != version.Older {
+				e = &episode{server: server, list: k.List}
+				a.episodes = append(a.episodes, e)
+			}
+			e.add(k)
+		}
+	}
+	for _, e := range a.episodes {
+		slices.SortFunc(e.knows, func(x, y knower) int { return cmp.Or(cmp.Compare(x.Known, y.Known), cmp.Compare(x.Number, y.Number)) })
+		for _, k := range e.knows {
+			if own := k.From == version.Own; k.clock.Trusted && (e.first == 0 || own && !e.source) {
+				e.first, e.source = k.Known, own
+			}
+			if k.clock.Trusted && k.Again != 0 && (e.again == 0 || k.Again < e.again) {
+				e.again = k.Again
+			}
+		}
+	}
+	slices.SortFunc(a.episodes, func(x, y *episode) int { return cmp.Or(cmp.Compare(x.first, y.first), cmp.Compare(x.server, y.server)) })
+}
+
+func (e *episode) add(k knower) {
+	e.knows = append(e.knows, k)
+	e.state = max(e.state, k.State)
+	if k.Again != 0 && (!e.given || k.Back.Order(e.back) == version.Older) {
+		e.given, e.back = true, k.Back
+	}
+}
+
+// of gives what a process knew of a withdrawal.
+func (e *episode) of(l *life) (knower, bool) {
+	i := slices.IndexFunc(e.knows, func(k knower) bool { return k.life == l })
+	if i < 0 {
+		return knower{}, false
+	}
+	return e.knows[i], true
+}
+
+// Break is sends to a server that wanted nothing new.
+type Break struct {
+	Process string        `json:"process"`
+	Number  int           `json:"number"`
+	Life    version.Stamp `json:"life"`
+	Server  string        `json:"server"`
+	State   string        `json:"state"`
+	Version version.List  `json:"version"` // that withdrew it
+	Own     bool          `json:"own"`     // the process itself knew; else another did
+	Least   uint64        `json:"least"`   // sends that were too late for certain
+	Most    uint64        `json:"most"`    // with those that may have been
+	From    version.Stamp `json:"from"`    // from when on sends were too late
+	Last    version.Stamp `json:"last"`
+	Late    time.Duration `json:"late"` // the last one after the first that knew
+	Path    []string      `json:"path"` // who knew when, and how the sender could have
+	Sure    Sure          `json:"sure"`
+}
+
+// Breaks lists the sends that happened although somebody knew better, by time.
+func (a *Audit) Breaks() []Break {
+	var out []Break
+	for _, e := range a.episodes {
+		for _, l := range a.lives {
+			out = append(out, a.breaks(e, l)...)
+		}
+	}
+	slices.SortFunc(out, func(x, y Break) int {
+		return cmp.Or(cmp.Compare(x.From, y.From), cmp.Compare(x.Number, y.Number), cmp.Compare(x.Server, y.Server))
+	})
+	return out
+}
+
+func (a *Audit) breaks(e *episode, l *life) []Break {
+	i := slices.IndexFunc(l.Servers, func(s version.Server) bool { return s.Name == e.server })
+	if i < 0 {
+		return nil
+	}
+	s := l.Servers[i]
+	var out []Break
+	add := func(own bool, from, to version.Stamp) {
+		least, most, last := count(&s, from, to)
+		if least == 0 {
+			return
+		}
+		b := Break{Process: l.Process, Number: l.Number, Life: l.Life, Server: e.server, State: e.state.String(), Version: e.list, Own: own,
+			Least: least, Most: most, From: from, Last: last, Late: last.Sub(e.first), Path: a.path(e, l, last), Sure: Certain}
+		if !e.source {
+			b.Sure = Likely // nobody's record says that a source said so
+		}
+		out = append(out, b)
+	}
+	wait := a.o.Grace + a.o.Tolerance
+	end := l.At + 1
+	if k, knew := e.of(l); knew {
+		until := end
+		if k.Again != 0 {
+			until = k.Again
+		}
+		add(true, k.Known.Add(wait), until)
+		end = min(end, k.Known.Add(a.o.Grace))
+	}
+	if !l.clock.Trusted || e.first == 0 {
+		return out
+	}
+	if e.again != 0 { // from then on nobody's knowledge was better
+		end = min(end, e.again)
+	}
+	add(false, max(e.first.Add(wait), l.Life), end)
+	return out
+}
+
+// count gives how many sends to a server fell for certain, and at most, between two
+// times, and the last of them.
+func count(s *version.Server, from, to version.Stamp) (least, most uint64, last version.Stamp) {
+	for _, m := range s.Marks {
+		switch {
+		case m.From >= from && m.To < to:
+			least, most, last = least+m.Sends, most+m.Sends, m.To
+		case m.To >= from && m.To < to: // its last one at least
+			least, most, last = least+1, most+m.Sends, m.To
+		case m.From >= from && m.From < to: // its first one at least
+			least, most, last = least+1, most+m.Sends, m.From
+		case m.From < from && m.To >= to:
+			most += m.Sends
+		}
+	}
+	return least, most, last
+}
+
+// path tells who knew of a withdrawal when, and how one that sent could have known.
+func (a *Audit) path(e *episode, l *life, at version.Stamp) []string {
+	var out []string
+	say := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	for i, k := range e.knows {
+		if i == 3 {
+			say("and %d more", len(e.knows)-i)
+			break
+		}
+		if k.From == version.Own {
+			say("%s knew at %s by its own source, version %v", k.Process, clockOf(k.Known), k.List)
+		} else {
+			say("%s knew at %s by %s, version %v", k.Process, clockOf(k.Known), a.name(k.From), k.List)
+		}
+	}
+	heard := false
+	for _, k := range e.knows {
+		if h, ok := l.heard(k.Number); ok && k.life != l && h.At > k.Known && h.At <= at {
+			say("%s heard %s at %s, which knew by then", l.Process, k.Process, clockOf(h.At))
+			heard = true
+			break
+		}
+	}
+	if k, knew := e.of(l); knew && k.Known <= at {
+		say("%s knew itself since %s", l.Process, clockOf(k.Known))
+	} else if !heard {
+		say("no word from one that knew to %s is on record before its last send", l.Process)
+	}
+	for _, s := range l.Stops {
+		if s.Until <= at && at.Sub(s.Until) < time.Second {
+			say("%s stood still for %v until %s", l.Process, s.For.Round(time.Millisecond), clockOf(s.Until))
+		}
+	}
+	say("%s sent last at %s, acting on %v", l.Process, clockOf(at), l.actedOn(at))
+	return out
+}
+
+// actedOn gives the version that a process acted on at a time.
+func (l *life) actedOn(at version.Stamp) version.List {
+	var v version.List
+	for _, i := range l.Acts {
+		if i.From <= at {
+			v = i.Version.List
+		}
+	}
+	return v
+}
+
+// clockOf words a time of day, UTC.
+func clockOf(s version.Stamp) string {
+	return time.UnixMilli(s.Time().Milliseconds()).UTC().Format("15:04:05.000")
+}
--- a/fleet/follow/agent.go
+++ b/fleet/follow/agent.go
@@ -243,8 +243,8 @@
 	if x.State == version.Up {
 		a.up++
 		a.log = slices.DeleteFunc(a.log, func(o word) bool { return o.key == k })
-		if known && old.state != version.Up {
-			a.rec.Again(a.now, x.Name)
+		if !known || old.state != version.Up {
+			a.rec.Again(a.now, x.Name, at)
 		}
 		return w, false
 	}
@@ -274,12 +274,13 @@
 		delete(a.held, k)
 		changed = changed || h.acted
 		if x, known := a.entries[k]; known && x.state == version.Up && h.acted {
-			a.rec.Again(a.now, x.name)
+			a.rec.Again(a.now, x.name, a.vector.List)
 		}
 	}
 	if a.acts.Order(a.vector.List) != version.Newer {
 		a.acts = a.vector.List
 	}
+	a.rec.Reached(a.acts)
 	if changed {
 		a.do(Changed{})
 	}
@@ -322,7 +323,7 @@
 
 // Uses tells whether another process's readings and suspicions are to be used.
 func (a *Agent) Uses(from int) bool {
-	if from < 0 || from >= len(a.peers) || !a.peers[from].behind {
+	if a.set.Watch || from < 0 || from >= len(a.peers) || !a.peers[from].behind {
 		return true
 	}
 	a.counts.Unused++
@@ -536,6 +537,9 @@
 // woke takes that the process stood still.
 func (a *Agent) woke(e Woke) {
 	a.rec.Stopped(a.now, e.Gap)
+	if a.set.Watch {
+		return
+	}
 	a.wokeAt, a.holdUntil = a.now, a.now+a.set.WakeHold
 	a.logf("stood still for %v; all it believes is old until somebody says it is not", e.Gap.Round(time.Millisecond))
 	a.do(AskSource{})
--- a/fleet/follow/api.go
+++ b/fleet/follow/api.go
@@ -32,6 +32,7 @@
 
 // Settings are the figures of a fleet, the same at all its processes.
 type Settings struct {
+	Watch      bool          // tell and record alone: no neighbour's word is acted on, and nothing is narrowed
 	Hello      time.Duration // between two rounds of hellos
 	HelloTo    int           // processes that one round goes to
 	Fanout     int           // processes that a withdrawal is told to at once
--- a/fleet/follow/standing.go
+++ b/fleet/follow/standing.go
@@ -66,7 +66,7 @@
 	}
 	to, why := Current, ""
 	switch {
-	case a.fleet.Size() <= 1: // nobody could know better
+	case a.set.Watch || a.fleet.Size() <= 1: // nobody could know better
 	case age < a.set.Narrow:
 	case a.sourceSilent(age):
 		to, why = Held, fmt.Sprintf("nobody's source has spoken for %v", age.Round(time.Second))
--- a/fleet/follow/words.go
+++ b/fleet/follow/words.go
@@ -38,7 +38,7 @@
 
 // seek asks a process that acts on newer withdrawals for what is missing here.
 func (a *Agent) seek() {
-	if a.now < a.nextAsk || !a.listed {
+	if a.now < a.nextAsk || !a.listed || a.set.Watch {
 		return
 	}
 	best := -1
@@ -185,6 +185,7 @@
 	}
 	to.Digest = 0
 	a.acts = to
+	a.rec.Reached(to)
 }
 
 // backing counts the processes heard of late that act on a version or a newer one.
@@ -203,6 +204,9 @@
 // how much of the list neighbours can take out: one alone a smaller part than
 // several that agree. sound says that nothing stands against having it in force.
 func (a *Agent) take(from int, p *peer, w word) (acted, sound bool) {
+	if a.set.Watch {
+		return false, false
+	}
 	if w.list.Order(a.vector.List) != version.Newer {
 		return false, true // the own source's word holds
 	}
@@ -292,7 +296,7 @@
 		if h.acted {
 			changed = true
 			if x, known := a.entries[k]; known {
-				a.rec.Again(a.now, x.name)
+				a.rec.Again(a.now, x.name, a.vector.List)
 				a.logf("process %d withdrew %s and the own source does not for %v: it is used again", h.via, x.name, wait)
 			}
 		}
--- a/fleet/version/record.go
+++ b/fleet/version/record.go
@@ -21,12 +21,13 @@
 	mostMarks = 32 // marks of a server that are kept: those in which something was sent
 )
 
-// MarkLength is how long one mark of sends is.
+// MarkLength is how long one mark of sends is at most.
 const MarkLength = time.Duration(1) << markBits
 
-// Mark counts the sends of one short time.
+// Mark counts the sends of one short time, from the first of them to the last.
 type Mark struct {
-	At    Stamp  `json:"at"` // its beginning
+	From  Stamp  `json:"from"`
+	To    Stamp  `json:"to"`
 	Sends uint64 `json:"sends"`
 }
 
@@ -38,10 +39,11 @@
 	slot        int64
 	count       uint64 // of the slot
 	all         uint64
-	first, last Time
+	first, last Time // of all
+	since       Time // the slot's first
 	marks       [mostMarks]struct {
-		slot  int64
-		count uint64
+		from, to Time
+		count    uint64
 	}
 	next  int
 	total *atomic.Uint64
@@ -62,13 +64,14 @@
 
 func (s *Sends) turn(slot int64, now Time) {
 	if s.count > 0 {
-		s.marks[s.next%mostMarks].slot, s.marks[s.next%mostMarks].count = s.slot, s.count
+		m := &s.marks[s.next%mostMarks]
+		m.from, m.to, m.count = s.since, s.last, s.count
 		s.next++
 		s.all += s.count
 	} else {
 		s.first = now
 	}
-	s.slot, s.count = slot, 0
+	s.slot, s.count, s.since = slot, 0, now
 }
 
 // Server is what was sent to one server, as a record tells it. Times are the
@@ -91,9 +94,9 @@
 	out.First, out.Last = StampOf(s.first+lag), StampOf(s.last+lag)
 	for i := max(0, s.next-mostMarks); i < s.next; i++ {
 		m := s.marks[i%mostMarks]
-		out.Marks = append(out.Marks, Mark{StampOf(time.Duration(m.slot<<markBits) + lag), m.count})
+		out.Marks = append(out.Marks, Mark{StampOf(m.from + lag), StampOf(m.to + lag), m.count})
 	}
-	out.Marks = append(out.Marks, Mark{StampOf(time.Duration(s.slot<<markBits) + lag), s.count})
+	out.Marks = append(out.Marks, Mark{StampOf(s.since + lag), out.Last, s.count})
 	return out
 }
 
@@ -124,6 +127,7 @@
 	Known  Stamp  `json:"known"` // when this process knew
 	From   int    `json:"from"`  // who told it: a process's number, or Own
 	Again  Stamp  `json:"again"` // when its own source gave the server back; 0: not yet
+	Back   List   `json:"back"`  // the version that gave it back
 }
 
 // Heard is the last word that a process had of another.
@@ -168,6 +172,7 @@
 	ClockRefused int           `json:"clock_refused"` // stamps too far ahead to be believed
 	ClockLag     time.Duration `json:"clock_lag"`     // the most that another clock was ahead
 	Confirmed    Stamp         `json:"confirmed"`     // when its own source spoke last
+	Reached      List          `json:"reached"`       // up to which all withdrawals are in force, by whoever told them
 	Before       []Life        `json:"before"`        // former processes of this node, oldest first
 }
 
@@ -254,7 +259,7 @@
 		}
 		return
 	}
-	r.rec.Withdrawals = append(r.rec.Withdrawals, Withdrawal{name, s, l, r.clock.Now(now), from, 0})
+	r.rec.Withdrawals = append(r.rec.Withdrawals, Withdrawal{Server: name, State: s, List: l, Known: r.clock.Now(now), From: from})
 	if len(r.rec.Withdrawals) > MostWithdrawals {
 		old := r.rec.Withdrawals[0]
 		r.rec.Withdrawals = slices.Delete(r.rec.Withdrawals, 0, 1)
@@ -265,11 +270,11 @@
 	}
 }
 
-// Again says that a server may be used again.
-func (r *Recorder) Again(now Time, name string) {
+// Again says that a server may be used again, by a version of the own list.
+func (r *Recorder) Again(now Time, name string, l List) {
 	for i := len(r.rec.Withdrawals) - 1; i >= 0; i-- {
 		if w := &r.rec.Withdrawals[i]; w.Server == name && w.Again == 0 {
-			w.Again = r.clock.Now(now)
+			w.Again, w.Back = r.clock.Now(now), l
 		}
 	}
 }
@@ -311,6 +316,9 @@
 // Confirmed notes that the process's own source spoke.
 func (r *Recorder) Confirmed(now Time) { r.rec.Confirmed = r.clock.Now(now) }
 
+// Reached notes up to which version all withdrawals are in force.
+func (r *Recorder) Reached(l List) { r.rec.Reached = l }
+
 // Former takes the record of the process before this one, of the same node.
 func (r *Recorder) Former(old Record) {
 	l := Life{Life: old.Life, Until: old.At, Sends: old.Folded.Sends}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -337,9 +337,10 @@
 	if !hasHint {
 		hint = 0
 	}
-	// A request's time counts from its last byte.
+	// A request's time counts from its last byte, and not from when a process
+	// that stood still came to read it.
 	patience := time.Duration(ms) * time.Millisecond
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(patience - f.node.Late())
 	req := &node.Request{
 		RequestArrived: balance.RequestArrived{ID: balance.RequestID(id), Class: class.Name,
 			Tenant: r.Header.Get("Tenant"), Key: r.URL.Query().Get("sid"), Patience: time.Until(deadline),
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -96,6 +96,10 @@
 	NodeTerm   Kind = "node-term"  // Node: told to end
 	NodeKilled Kind = "node-kill"  // Node: killed outright
 	NodeEnded  Kind = "node-end"   // Node: it ended by itself
+	Asked      Kind = "asked"      // Node: its call came to discovery
+	Hindered   Kind = "hindered"   // Node: a datagram that it sent is lost, late or doubled on purpose
+	NodeStop   Kind = "node-stop"  // Node: it stands still
+	NodeCont   Kind = "node-cont"  // Node: it goes on
 	Message    Kind = "message"    // Node, Bytes: a datagram to one receiver
 	Spoilt     Kind = "spoilt"     // Try, Server: its answer is spoilt on purpose
 	Slow       Kind = "slow"       // Try: its client reads the answer slowly
--- a/internal/lab/holds/holds.go
+++ b/internal/lab/holds/holds.go
@@ -167,6 +167,17 @@
 		return want(count(from, to+5*time.Second, func(e *history.Event) bool { return e.Kind == history.Slow }), 1, "slow readers")
 	case scenario.WhatOutage:
 		return none(count(from+margin, to-margin, func(e *history.Event) bool { return e.Kind == history.Told }), "words were told while it was down")
+	case scenario.WhatStop:
+		stopped := func(k history.Kind, at time.Duration) int {
+			return count(at, at+margin, func(e *history.Event) bool { return e.Kind == k && isNode[e.Node] })
+		}
+		return first(want(stopped(history.NodeStop, from), len(nodes), "nodes that stand still"), want(stopped(history.NodeCont, to), len(nodes), "nodes that go on"),
+			none(count(from+margin, to-time.Millisecond, func(e *history.Event) bool { return e.Kind == history.Message && isNode[e.Node] }), "datagrams came while it stood still"))
+	case scenario.WhatCut:
+		asked := func(e *history.Event) bool { return e.Kind == history.Asked && isNode[e.Node] }
+		return first(want(count(0, from, asked), len(nodes), "calls to discovery before it"), none(count(from+margin, to-margin, asked), "calls came to discovery"))
+	case scenario.WhatPeers:
+		return want(count(from, to, func(e *history.Event) bool { return e.Kind == history.Hindered }), 1, "datagrams hindered")
 	case scenario.WhatForget:
 		return want(count(from, from+margin, func(e *history.Event) bool { return e.Kind == history.Forgot }), 1, "restarts")
 	case scenario.WhatFlap:
--- a/internal/lab/hosts/service.go
+++ b/internal/lab/hosts/service.go
@@ -168,6 +168,7 @@
 		return
 	}
 	s.calls++
+	s.record(history.Event{At: s.clock(), Kind: history.Asked, Node: node})
 	defer func() { s.calls-- }()
 	for over := false; watch && !over && !s.down && s.list.Generation() == from; {
 		news := s.news
--- a/internal/lab/link/tcp.go
+++ b/internal/lab/link/tcp.go
@@ -30,6 +30,10 @@
 	Loss  float64       // share of segments that cost a retransmission
 	Rate  int           // bytes a second each way; 0: no limit
 	State State
+	// Of datagrams alone: up to so much on top of the delay, and the share that
+	// comes twice.
+	Jitter time.Duration
+	Double float64
 }
 
 const (
--- a/internal/lab/link/udp.go
+++ b/internal/lab/link/udp.go
@@ -58,6 +58,13 @@
 	u.shape = s
 }
 
+// Shaped tells whether it is otherwise than usual.
+func (u *UDP) Shaped(usual Shape) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.shape != usual
+}
+
 // Close ends the relay.
 func (u *UDP) Close() { u.conn.Close() }
 
@@ -81,11 +88,17 @@
 				u.Dropped.Add(1)
 				continue
 			}
-			u.way.Add(1)
-			time.AfterFunc(s.Delay, func() {
-				defer u.way.Add(-1)
-				h.From.WriteTo(data, h.To)
-			})
+			times := 1
+			if rand.Float64() < s.Double {
+				times = 2
+			}
+			for range times {
+				u.way.Add(1)
+				time.AfterFunc(s.Delay+time.Duration(rand.Float64()*float64(s.Jitter)), func() {
+					defer u.way.Add(-1)
+					h.From.WriteTo(data, h.To)
+				})
+			}
 		}
 	}
 }
--- a/internal/lab/memory/client.go
+++ b/internal/lab/memory/client.go
@@ -41,6 +41,9 @@
 	n := c.node
 	switch what {
 	case comesToNode:
+		if n.sleeps(c, what, 0) {
+			return
+		}
 		if n.life == c.life {
 			n.arrive(c, c.deadline-c.w.now)
 		} else {
--- a/internal/lab/memory/faults.go
+++ b/internal/lab/memory/faults.go
@@ -118,6 +118,41 @@
 		begin, end = func() { w.setOutage(true) }, func() { w.setOutage(false) }
 	case scenario.WhatLag:
 		begin, end = func() { w.lag += f.Delay.Duration }, func() { w.lag -= f.Delay.Duration }
+	case scenario.WhatStop:
+		begin = func() {
+			for _, x := range nodes {
+				w.record(history.Event{Kind: history.NodeStop, Node: x.Name})
+				w.nodes[x.Number].asleep = w.now + f.For.Duration
+			}
+		}
+		end = func() {
+			for _, x := range nodes {
+				w.record(history.Event{Kind: history.NodeCont, Node: x.Name})
+			}
+		}
+	case scenario.WhatCut:
+		set := func(cut bool) func() {
+			return func() {
+				for _, x := range nodes {
+					w.nodes[x.Number].cut = cut
+				}
+			}
+		}
+		begin, end = set(true), set(false)
+	case scenario.WhatPeers:
+		begin = func() {
+			for _, x := range w.s.Ways(f) {
+				w.ways[x] = way{loss: f.Loss, delay: f.Delay.Duration, jitter: f.Jitter.Duration, double: f.Double}
+				if f.State != "" {
+					w.ways[x] = way{loss: 1}
+				}
+			}
+		}
+		end = func() {
+			for _, x := range w.s.Ways(f) {
+				delete(w.ways, x)
+			}
+		}
 	case scenario.WhatForget:
 		begin = func() {
 			w.setOutage(true)
--- /dev/null
+++ b/internal/lab/memory/fleet.go
@@ -0,0 +1,220 @@
+package memory
+
+import (
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/fleet/follow"
+	"barrowscale/fleet/version"
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/hosts"
+)
+
+// fleetTick is how often an agent looks, as the node's shell has it.
+const fleetTick = 100 * time.Millisecond
+
+// way is what the lab does to datagrams from one node to another.
+type way struct {
+	loss, double  float64
+	delay, jitter time.Duration
+}
+
+// fleet is a node's part in its fleet, as the shell carries it out.
+type fleet struct {
+	agent   *follow.Agent
+	set     follow.Settings
+	waiting []func() // requests that came while it waits to hear whether what it believes holds
+	changed bool
+	turnAt  time.Duration
+}
+
+func newFleet(n *node, s balance.Settings, seed int64) *fleet {
+	if !n.w.s.Fleet {
+		return nil
+	}
+	f := &fleet{set: follow.Defaults(), turnAt: n.w.now}
+	if n.w.follow != nil {
+		f.set = *n.w.follow
+	}
+	f.agent = follow.New(f.set, follow.Fixed{Nodes: s.Nodes, Number: s.Self}, Unix+n.w.now, seed, n.Name, 1, 1)
+	n.w.plan(n.w.now+n.w.jitter(fleetTick), n, fleetTicks, uint64(n.life))
+	return f
+}
+
+// sleeps tells whether a node stands still; then what happens to it is put off
+// until it goes on. The first thing after that is that it finds out.
+func (n *node) sleeps(on subject, what what, number uint64) bool {
+	if n.w.now < n.asleep {
+		n.w.plan(n.asleep, on, what, number)
+		return true
+	}
+	if f := n.fleet; f != nil {
+		gap := n.w.now - f.turnAt
+		f.turnAt = n.w.now
+		if gap > f.set.Wake {
+			n.fleetDo(follow.Woke{Gap: gap})
+		}
+	}
+	return false
+}
+
+// tellRecord gives the run's caller what the node has acted on.
+func (n *node) tellRecord() {
+	if n.up && n.fleet != nil && n.w.records != nil {
+		n.w.records(n.fleet.agent.Recorder().Take(Unix + n.w.now))
+	}
+}
+
+func (n *node) fleetTick(life uint64) {
+	if uint64(n.life) != life || !n.up {
+		return
+	}
+	n.w.plan(n.w.now+fleetTick, n, fleetTicks, life)
+	n.fleetDo(follow.Ticked{})
+	if n.fleet.agent.Fresh(Unix+n.w.now) > 0 {
+		n.again()
+	}
+}
+
+func (n *node) fleetDo(e follow.Event) {
+	f := n.fleet
+	for _, a := range f.agent.Handle(Unix+n.w.now, e) {
+		switch a := a.(type) {
+		case follow.Tell:
+			n.message(balance.SendMessage{To: a.To, Data: a.Data})
+		case follow.Changed:
+			f.changed = true
+		case follow.AskSource:
+			n.subscribe(true)
+		}
+	}
+	if _, listed := e.(follow.Listed); !listed {
+		n.fleetChanged()
+	}
+	if until := f.agent.Holds(); len(f.waiting) > 0 && (until == 0 || Unix+n.w.now >= until) {
+		waiting := f.waiting
+		f.waiting = nil
+		for _, do := range waiting {
+			do()
+		}
+	}
+}
+
+func (n *node) fleetChanged() {
+	if n.fleet != nil && n.fleet.changed {
+		n.fleet.changed = false
+		n.again()
+	}
+}
+
+// again tells the module the whole list anew.
+func (n *node) again() {
+	l := hosts.List{Generation: n.version}
+	for _, s := range n.listed {
+		if s != nil && s.lifecycle.InstanceID != "" && s.lifecycle.Lifecycle != hosts.Removed {
+			l.Instances = append(l.Instances, s.lifecycle)
+		}
+	}
+	n.apply(balance.ListCached, l)
+}
+
+func (n *node) fleetList(kind balance.ListKind, l hosts.List) {
+	if n.fleet == nil {
+		return
+	}
+	if kind != balance.ListChanges { // what is not named any more is gone
+		for _, s := range n.listed {
+			if s != nil {
+				s.lifecycle = hosts.Entry{}
+			}
+		}
+	}
+	kinds := map[balance.ListKind]follow.Kind{balance.ListChanges: follow.Changes, balance.ListFull: follow.Full, balance.ListCached: follow.Cached}
+	states := map[string]version.State{hosts.Up: version.Up, hosts.Draining: version.Draining, hosts.Removed: version.Gone}
+	e := follow.Listed{Kind: kinds[kind], Generation: l.Generation}
+	for _, x := range l.Instances {
+		e.Entries = append(e.Entries, follow.Entry{Name: x.InstanceID, State: states[x.Lifecycle], StartedAt: time.Duration(x.StartedAtMs) * time.Millisecond})
+	}
+	n.fleetDo(e)
+}
+
+func (n *node) fleetOut(s *listed) bool {
+	if n.fleet == nil {
+		return false
+	}
+	fresh := n.fleet.agent.Fresh(Unix + n.w.now)
+	return n.fleet.agent.Out(s.lifecycle.InstanceID) || fresh > 0 && s.answered < fresh
+}
+
+// admit tells whether a request goes on to the module now.
+func (n *node) admit(c *client, r *request) bool {
+	f := n.fleet
+	if until := f.agent.Holds(); until > 0 && Unix+n.w.now < until {
+		f.waiting = append(f.waiting, func() { n.arrive(c, r.deadline-n.w.now) })
+		return false
+	}
+	if f.agent.Takes() {
+		return true
+	}
+	f.agent.Recorder().RefusedOld()
+	c.later(n.w.jitter(n.w.s.Net.Client.Duration), history.Refused, "", time.Second)
+	return false
+}
+
+// hear takes a datagram of another node.
+func (n *node) hear(life, from int, data []byte) {
+	switch {
+	case n.life != life || !n.up:
+		return
+	case n.w.now < n.asleep:
+		n.w.at(n.asleep, func() { n.hear(life, from, data) })
+		return
+	}
+	if f := n.fleet; f != nil {
+		n.sleeps(nil, 0, 0) // it goes on: it must find out before it hears anybody
+		if follow.Ours(data) {
+			n.fleetDo(follow.Heard{From: from, Data: data})
+			data = follow.Unwrap(data)
+		}
+		if len(data) == 0 || !f.agent.Uses(from) {
+			return
+		}
+	}
+	n.handle(balance.MessageReceived{From: from, Data: data})
+}
+
+// renew is the watch's next call, whose answer shows that the list is current.
+func (n *node) renew(life, watch int) {
+	if n.fleet == nil {
+		return
+	}
+	w := n.w
+	w.after(n.fleet.set.Narrow/3, func() {
+		switch {
+		case n.life != life || n.watch != watch || !n.watching:
+		case n.cut:
+			w.after(callTimeout, func() { n.broken(life, watch) })
+		default:
+			if w.now >= n.asleep {
+				w.record(history.Event{Kind: history.Asked, Node: n.Name})
+				n.follow(balance.ListChanges, hosts.List{Generation: n.version})
+			}
+			n.renew(life, watch)
+		}
+	})
+}
+
+func chance(w *world, p float64) int {
+	if p > 0 && w.rng.Float64() < p {
+		return 1
+	}
+	return 0
+}
+
+// late is what a way adds to a datagram's time.
+func (y way) late(w *world) time.Duration {
+	if y.jitter == 0 {
+		return y.delay
+	}
+	return y.delay + time.Duration(w.rng.Float64()*float64(y.jitter))
+}
--- a/internal/lab/memory/list.go
+++ b/internal/lab/memory/list.go
@@ -45,12 +45,31 @@
 		}
 	}
 	life, watch := n.life, n.watch
-	w.after(w.jitter(w.s.Net.SameHall.Duration), func() {
-		if n.life == life && n.watch == watch {
+	if n.cut { // it was written and does not arrive
+		n.watching = false
+		w.after(callTimeout, func() { n.broken(life, watch) })
+		return
+	}
+	var arrive func()
+	arrive = func() {
+		if n.w.now < n.asleep {
+			w.at(n.asleep, arrive)
+		} else if n.life == life && n.watch == watch {
 			n.known = w.registry.All()
 			n.follow(kind, l)
 		}
-	})
+	}
+	w.after(w.jitter(w.s.Net.SameHall.Duration), arrive)
+}
+
+// broken tells a node that its watch brought nothing.
+func (n *node) broken(life, watch int) {
+	if n.w.now < n.asleep {
+		n.w.at(n.asleep, func() { n.broken(life, watch) })
+	} else if n.life == life && n.watch == watch {
+		n.watching = false
+		n.handle(balance.ListUpdate{Kind: balance.ListFailed})
+	}
 }
 
 // subscribe starts a node's watch, or ends it.
@@ -66,15 +85,13 @@
 	w.after(w.jitter(w.s.Net.SameHall.Duration), func() {
 		switch {
 		case !still():
-		case w.outage:
-			w.after(callTimeout, func() {
-				if still() {
-					n.handle(balance.ListUpdate{Kind: balance.ListFailed})
-				}
-			})
+		case w.outage || n.cut:
+			w.after(callTimeout, func() { n.broken(life, watch) })
 		default:
+			w.record(history.Event{Kind: history.Asked, Node: n.Name})
 			n.watching, n.sent = true, n.version
 			w.tell(n)
+			n.renew(life, watch)
 		}
 	})
 }
@@ -96,6 +113,13 @@
 // that drains, then the module.
 func (n *node) follow(kind balance.ListKind, l hosts.List) {
 	n.version = l.Generation
+	n.fleetList(kind, l)
+	n.apply(kind, l)
+	n.fleetChanged()
+}
+
+// apply tells of entries of the list.
+func (n *node) apply(kind balance.ListKind, l hosts.List) {
 	u := balance.ListUpdate{Kind: kind, Version: l.Generation}
 	named := map[balance.ServerID]bool{}
 	for _, e := range l.Instances {
@@ -109,7 +133,11 @@
 			n.listed[c.id] = s
 		}
 		named[c.id] = true
+		s.lifecycle = e
 		state := lifecycles[e.Lifecycle]
+		if state == balance.Ready && n.fleetOut(s) {
+			state = balance.Draining
+		}
 		s.closed = state != balance.Ready
 		u.Entries = append(u.Entries, balance.Server{ID: c.id, Zone: e.Zone, Kind: e.MachineType, Cell: e.Cell, State: state,
 			Size: e.Weight, StartedAt: time.Duration(e.StartedAtMs) * time.Millisecond})
--- a/internal/lab/memory/node.go
+++ b/internal/lab/memory/node.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/fleet/follow"
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/hosts"
 	"barrowscale/internal/lab/nodeconf"
@@ -35,13 +36,18 @@
 	watching bool
 	sent     uint64 // what the watch has been told
 	outcome  balance.AttemptEnded
-	token    int64 // of the one timer that a module uses at a time
+	token    int64         // of the one timer that a module uses at a time
+	cut      bool          // from discovery
+	asleep   time.Duration // stands still until then
+	fleet    *fleet        // nil: off
 }
 
 // listed is a server as the node knows it.
 type listed struct {
 	*machine
-	closed bool // draining or gone
+	closed    bool          // draining or gone
+	answered  time.Duration // when it last did; Unix time
+	lifecycle hosts.Entry   // as discovery told it
 }
 
 // server gives a server that the node knows, or nil.
@@ -114,6 +120,7 @@
 	}
 	n.requests, n.listed = map[balance.RequestID]*request{}, nil
 	n.pools, n.watching = nil, false
+	n.fleet = newFleet(n, settings, seed)
 	if n.known.Instances == nil {
 		n.known = n.w.registry.All()
 	}
@@ -152,6 +159,7 @@
 }
 
 func (n *node) stop() {
+	n.tellRecord()
 	n.life++
 	n.up, n.watching = false, false
 	for _, c := range n.w.machines {
@@ -243,9 +251,19 @@
 }
 
 // timerFires happens to a node; the number is the process that set the timer.
-const timerFires what = 0
+const (
+	timerFires what = iota
+	fleetTicks
+)
 
-func (n *node) happen(_ what, life uint64) {
+func (n *node) happen(what what, life uint64) {
+	if n.sleeps(n, what, life) {
+		return
+	}
+	if what == fleetTicks {
+		n.fleetTick(life)
+		return
+	}
 	if uint64(n.life) == life {
 		n.handle(balance.TimerFired{Token: n.token})
 	}
@@ -254,6 +272,9 @@
 // arrive takes a client's try.
 func (n *node) arrive(c *client, patience time.Duration) {
 	r := &request{client: c, deadline: n.w.now + patience}
+	if n.fleet != nil && !n.admit(c, r) {
+		return
+	}
 	n.requests[balance.RequestID(c.try)] = r
 	r.arrived = balance.RequestArrived{ID: balance.RequestID(c.try), Class: c.order.Class.Name, Patience: patience}
 	if n.w.mutant != nil { // it looks at plain ones
@@ -281,6 +302,10 @@
 
 // abandoned tells that a client has closed its connection.
 func (n *node) abandoned(c *client) {
+	if n.w.now < n.asleep {
+		n.w.at(n.asleep, func() { n.abandoned(c) })
+		return
+	}
 	r := n.requests[balance.RequestID(c.try)]
 	if r == nil || r.over {
 		return
@@ -366,6 +391,9 @@
 )
 
 func (a *attempt) happen(what what, n uint64) {
+	if what != comesToServer && a.node.sleeps(a, what, n) {
+		return
+	}
 	switch what {
 	case timesOut:
 		a.giveUp(balance.TimedOut)
@@ -387,6 +415,9 @@
 		a.finish(balance.Moot)
 		return
 	}
+	if n.fleet != nil && a.request != nil {
+		n.fleet.agent.Recorder().Sends(a.server.Name).Sent(Unix + w.now)
+	}
 	if n.link(a.to).state == "reset" {
 		w.plan(w.now+delay, a, ends, uint64(balance.Reset))
 		return
@@ -465,6 +496,9 @@
 		return
 	}
 	r.out--
+	if code == balance.OK {
+		a.server.answered = Unix + n.w.now
+	}
 	if code == balance.OK && !r.over {
 		r.over = true
 		r.client.later(n.w.jitter(n.w.s.Net.Client.Duration), history.Served, a.to.Name, 0)
@@ -515,14 +549,22 @@
 			continue
 		}
 		n.w.record(history.Event{Kind: history.Message, Node: n.Name, Bytes: len(m.Data)})
-		if n.w.rng.Float64() < n.w.s.Net.Lost {
-			continue
+		way, bad := n.w.ways[[2]int{n.Number, peer.Number}]
+		if bad {
+			n.w.record(history.Event{Kind: history.Hindered, Node: n.Name})
 		}
-		life := peer.life
-		n.w.after(n.w.jitter(n.w.s.Net.Messages.Duration), func() {
-			if peer.life == life && peer.up {
-				peer.handle(balance.MessageReceived{From: n.Number, Data: m.Data})
+		data := m.Data
+		if n.fleet != nil && !m.ToAll && !follow.Ours(data) {
+			data = n.fleet.agent.Wrap(Unix+n.w.now, peer.Number, data)
+		}
+		for range 1 + chance(n.w, way.double) {
+			if n.w.rng.Float64() < max(way.loss, n.w.s.Net.Lost) {
+				continue
 			}
-		})
+			life := peer.life
+			n.w.after(n.w.jitter(n.w.s.Net.Messages.Duration)+way.late(n.w), func() {
+				peer.hear(life, n.Number, data)
+			})
+		}
 	}
 }
--- a/internal/lab/memory/world.go
+++ b/internal/lab/memory/world.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/fleet/follow"
+	"barrowscale/fleet/version"
 	"barrowscale/internal/lab/clip"
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/hosts"
@@ -46,9 +48,13 @@
 	Seed int64 // 0: the scenario's
 	// Decider makes each node's; nil: the decision module.
 	Decider func(n scenario.Node, s balance.Settings, seed int64) Decider
-	Mutant  Mutant // nil: none
-	Reports bool   // answers carry the server's load report
-	Deaf    bool   // a broken shell: it sends without looking again whether the server drains
+	Mutant  Mutant           // nil: none
+	Reports bool             // answers carry the server's load report
+	Follow  *follow.Settings // of the nodes' fleet; nil: the defaults
+	// Records, if not nil, is given each node's record of what it acted on at the end of
+	// the load, and those of nodes that end before.
+	Records func(version.Record)
+	Deaf    bool // a broken shell: it sends without looking again whether the server drains
 	// Watch is given each event as it happens, and the history that Run gives
 	// back has none: a whole fleet's would not fit. The setup grows by servers
 	// that replace others. nil: all events are kept.
@@ -83,6 +89,9 @@
 	decider  func(scenario.Node, balance.Settings, int64) Decider
 	open     map[*node][]*client // that wait at a node
 	links    map[pair]link
+	follow   *follow.Settings
+	records  func(version.Record)
+	ways     map[[2]int]way // of datagrams, that are not as usual
 }
 
 // Run plays a scenario and gives its history.
@@ -91,7 +100,7 @@
 		o.Seed = s.Seed
 	}
 	w := &world{s: s, rng: rand.New(rand.NewPCG(uint64(o.Seed), 0x6d656d)), byName: map[string]*machine{},
-		pods: map[int]*clip.Pod{}, registry: hosts.NewRegistry(40), turn: map[string]int{}, open: map[*node][]*client{}, links: map[pair]link{}, mutant: o.Mutant, deaf: o.Deaf, reports: o.Reports, decider: o.Decider, lag: s.Hosts.Lag.Duration}
+		pods: map[int]*clip.Pod{}, registry: hosts.NewRegistry(40), turn: map[string]int{}, open: map[*node][]*client{}, links: map[pair]link{}, ways: map[[2]int]way{}, follow: o.Follow, records: o.Records, mutant: o.Mutant, deaf: o.Deaf, reports: o.Reports, decider: o.Decider, lag: s.Hosts.Lag.Duration}
 	w.setup = history.Setup{Scenario: s.Name, Seed: o.Seed, Length: s.Length.Duration, Classes: load.ClassesOf(s), Limits: load.Limits}
 	for _, x := range s.Nodes() {
 		w.setup.Nodes = append(w.setup.Nodes, history.Node{Name: x.Name, Hall: x.Hall})
@@ -112,6 +121,11 @@
 		w.planFault(&s.Faults[i])
 	}
 
+	w.at(s.Length.Duration, func() {
+		for _, n := range w.nodes {
+			n.tellRecord()
+		}
+	})
 	w.arrivals(load.NewStream(s, o.Seed))
 	longest := time.Duration(0)
 	for _, c := range w.setup.Classes {
--- a/internal/lab/nodeconf/nodeconf.go
+++ b/internal/lab/nodeconf/nodeconf.go
@@ -27,6 +27,7 @@
 	Name       string          `json:"name"`
 	Listen     string          `json:"listen"`
 	Discovery  string          `json:"discovery"`
+	Console    string          `json:"console,omitempty"`
 	Seed       string          `json:"seed"`
 	Limits     Limits          `json:"limits"`
 	PeerListen string          `json:"peer_listen,omitempty"`
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -29,18 +29,19 @@
 
 // Node is one running process.
 type Node struct {
-	Addr  string // where clients connect
-	Peers string // where it takes datagrams; "" for none
-	cmd   *exec.Cmd
-	ended chan struct{}
-	mu    sync.Mutex
-	log   []string
+	Addr    string // where clients connect
+	Peers   string // where it takes datagrams; "" for none
+	Console string // where it hears operators; "" for nowhere
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	mu      sync.Mutex
+	log     []string
 }
 
 // Start runs a node's program with a configuration, whose Listen and
 // PeerListen may name port 0: the node's own log tells what it got, so no port
-// is raced for. dir is for its files. It returns once GET /up answers 200.
-func Start(program, dir string, c nodeconf.Config) (*Node, error) {
+// is raced for. dir is for its files, more goes into its environment. It returns once GET /up answers 200.
+func Start(program, dir string, c nodeconf.Config, more ...string) (*Node, error) {
 	raw, err := json.Marshal(c)
 	if err != nil {
 		return nil, err
@@ -50,7 +51,7 @@
 		return nil, err
 	}
 	env := []string{"PROXY_NAME=" + c.Name, "PROXY_LISTEN=" + c.Listen, "PROXY_DISCOVERY=" + c.Discovery, "PROXY_CONFIG=" + path}
-	return Exec([]string{program}, env, "node "+c.Name)
+	return Exec([]string{program}, append(env, more...), "node "+c.Name)
 }
 
 // Exec runs any program that says on standard error where it serves, as a node
@@ -109,6 +110,9 @@
 		if _, at, found := strings.Cut(line, " takes datagrams on "); found {
 			n.Peers = at
 		}
+		if _, at, found := strings.Cut(line, " hears operators on "); found {
+			n.Console = at
+		}
 		n.mu.Unlock()
 		if _, at, found := strings.Cut(line, " serves on "); found {
 			select {
@@ -162,6 +166,17 @@
 // Ended is closed when the process has ended.
 func (n *Node) Ended() <-chan struct{} { return n.ended }
 
+// Stop has it stand still; Cont has it go on.
+func (n *Node) Stop() { n.cmd.Process.Signal(syscall.SIGSTOP) }
+func (n *Node) Cont() { n.cmd.Process.Signal(syscall.SIGCONT) }
+
+// ConsoleAddr is where it hears operators, if it does.
+func (n *Node) ConsoleAddr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Console
+}
+
 // Term tells it to end.
 func (n *Node) Term() { n.cmd.Process.Signal(syscall.SIGTERM) }
 
--- a/internal/lab/real/faults.go
+++ b/internal/lab/real/faults.go
@@ -10,6 +10,7 @@
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/hosts"
 	"barrowscale/internal/lab/link"
+	"barrowscale/internal/lab/process"
 	"barrowscale/internal/lab/scenario"
 )
 
@@ -97,6 +98,28 @@
 	case scenario.WhatLag:
 		lag := h.s.Hosts.Lag.Duration
 		return action{func() { h.hosts.SetLag(lag + f.Delay.Duration) }, func() { h.hosts.SetLag(lag) }}
+	case scenario.WhatStop:
+		return action{func() { h.signal(nodes, history.NodeStop, (*process.Node).Stop) }, func() { h.signal(nodes, history.NodeCont, (*process.Node).Cont) }}
+	case scenario.WhatCut:
+		set := func(state link.State) func() {
+			return func() {
+				for _, n := range nodes {
+					h.fail(h.cuts[n.Name].Set(link.Shape{State: state}))
+				}
+			}
+		}
+		return action{set(link.BlackHole), set(link.Open)}
+	case scenario.WhatPeers:
+		usual := link.Shape{Delay: h.s.Net.Messages.Duration, Loss: h.s.Net.Lost}
+		bad := link.Shape{Delay: usual.Delay + f.Delay.Duration, Loss: max(usual.Loss, f.Loss), State: link.State(f.State), Jitter: f.Jitter.Duration, Double: f.Double}
+		set := func(s link.Shape) func() {
+			return func() {
+				for _, way := range h.s.Ways(f) {
+					h.relays[way[0]][way[1]].Set(s)
+				}
+			}
+		}
+		return action{set(bad), set(usual)}
 	case scenario.WhatForget:
 		return action{begin: func() { h.hosts.Restart(1) }}
 	case scenario.WhatFlap:
--- /dev/null
+++ b/internal/lab/real/fleet.go
@@ -0,0 +1,97 @@
+package real
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"barrowscale/fleet/version"
+	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/link"
+	"barrowscale/internal/lab/process"
+	"barrowscale/internal/lab/scenario"
+)
+
+// toDiscovery gives the address at which a node finds discovery: a link's, where
+// the timeline cuts it off.
+func (h *Hall) toDiscovery(n scenario.Node, addr string) (string, error) {
+	for i := range h.s.Faults {
+		f := &h.s.Faults[i]
+		if _, nodes := h.s.Pick(f.Who); f.What != scenario.WhatCut || !contains(nodes, n) {
+			continue
+		}
+		l, err := link.NewTCP(func() string { return addr }, h.Clock)
+		if err != nil {
+			return "", err
+		}
+		h.cuts[n.Name] = l
+		return l.Addr(), nil
+	}
+	return addr, nil
+}
+
+func contains(nodes []scenario.Node, n scenario.Node) bool {
+	for _, x := range nodes {
+		if x == n {
+			return true
+		}
+	}
+	return false
+}
+
+// operator writes a node's operator's file, if the scenario switches something
+// on, and gives the environment that names it.
+func (h *Hall) operator(name string) ([]string, error) {
+	if !h.s.Fleet {
+		return nil, nil
+	}
+	path := filepath.Join(h.dir, name+".toml")
+	text := fmt.Sprintf("[fleet]\nrecord_file = %q\nrecord_every = \"200ms\"\n", h.recordFile(name))
+	return []string{"IVYLOCK_OPERATOR=" + path}, os.WriteFile(path, []byte(text), 0o600)
+}
+
+func (h *Hall) recordFile(name string) string { return filepath.Join(h.dir, name+".record") }
+
+// signal stops nodes, or has them go on.
+func (h *Hall) signal(nodes []scenario.Node, what history.Kind, do func(*process.Node)) {
+	for _, x := range nodes {
+		n := h.nodes[x.Number]
+		n.mu.Lock()
+		if n.proc != nil {
+			do(n.proc)
+			h.rec.Add(history.Event{At: h.Clock(), Kind: what, Node: n.Name})
+		}
+		n.mu.Unlock()
+	}
+}
+
+// Records gives what the nodes have acted on: from their consoles, and from their
+// files, which hold former processes' too. It is to be called before Close.
+func (h *Hall) Records() []version.Record {
+	var out []version.Record
+	client := http.Client{Timeout: 2 * time.Second}
+	for _, n := range h.nodes {
+		raw, _ := os.ReadFile(h.recordFile(n.Name))
+		found, _ := version.ReadLines(raw)
+		n.mu.Lock()
+		proc := n.proc
+		n.mu.Unlock()
+		if proc != nil {
+			if resp, err := client.Get("http://" + proc.ConsoleAddr() + "/fleet/record"); err == nil {
+				var r version.Record
+				if json.NewDecoder(resp.Body).Decode(&r) == nil && len(found) > 0 {
+					found[len(found)-1] = r
+				}
+				resp.Body.Close()
+			}
+		}
+		out = append(out, found...)
+	}
+	return out
+}
+
+// Began is the Unix time at which the lab's clock read 0.
+func (h *Hall) Began() time.Time { return h.unix }
--- a/internal/lab/real/hall.go
+++ b/internal/lab/real/hall.go
@@ -59,8 +59,9 @@
 	clients  *caller.Clients
 	relays   [][]*link.UDP // from node i to node j
 	toAll    []*link.UDP
-	late     []time.Duration // how late orders were sent
-	waited   int             // orders that found maxOrders open
+	cuts     map[string]*link.TCP // by node: the way to discovery, where the timeline cuts it
+	late     []time.Duration      // how late orders were sent
+	waited   int                  // orders that found maxOrders open
 	stopping bool
 	rng      *rand.Rand // the timeline's own
 	pending  sync.WaitGroup
@@ -109,6 +110,7 @@
 	}
 	h.setup = history.Setup{Scenario: s.Name, Seed: o.Seed, Length: s.Length.Duration, Classes: load.ClassesOf(s), Limits: load.Limits}
 	h.clients = &caller.Clients{Scenario: s, Front: h.front, Clock: h.Clock, Record: h.rec.Add, Slack: load.Limits.Slack}
+	h.cuts = map[string]*link.TCP{}
 	h.hosts = hosts.NewService(40, h.Clock, h.rec.Add, h.addr)
 	for _, x := range s.Nodes() {
 		h.nodes = append(h.nodes, &node{Node: x})
@@ -276,9 +278,12 @@
 		}
 		return []link.Hop{{From: back.Conn(), To: to}}
 	}
-	told := func(i int) func(int, int) {
+	told := func(i, j int) func(int, int) {
 		return func(bytes, receivers int) {
 			for range receivers {
+				if j >= 0 && h.relays[i][j].Shaped(shape) {
+					h.rec.Add(history.Event{At: h.Clock(), Kind: history.Hindered, Node: h.nodes[i].Name})
+				}
 				h.rec.Add(history.Event{At: h.Clock(), Kind: history.Message, Node: h.nodes[i].Name, Bytes: bytes})
 			}
 		}
@@ -288,7 +293,7 @@
 	}
 	for i := range n {
 		for j := range n {
-			u, err := link.NewUDP(func() []link.Hop { return hop(i, j) }, told(i))
+			u, err := link.NewUDP(func() []link.Hop { return hop(i, j) }, told(i, j))
 			if err != nil {
 				return err
 			}
@@ -305,7 +310,7 @@
 				}
 			}
 			return all
-		}, told(i))
+		}, told(i, -1))
 		if err != nil {
 			return err
 		}
@@ -321,6 +326,9 @@
 	var wg sync.WaitGroup
 	for i, n := range h.nodes {
 		addr, err := h.hosts.Listen(n.Name)
+		if err == nil {
+			addr, err = h.toDiscovery(n.Node, addr)
+		}
 		if err != nil {
 			return err
 		}
@@ -330,6 +338,9 @@
 		}
 		n.conf = nodeconf.Config{Name: n.Name, Listen: "127.0.0.1:0", Discovery: addr, Limits: h.o.Limits,
 			PeerListen: "127.0.0.1:0", Peers: peers, PeersAll: h.toAll[n.Number].Addr(), Settings: nodeconf.Settings(h.s, n.Number)}
+		if h.s.Fleet {
+			n.conf.Console = "127.0.0.1:0"
+		}
 		wg.Go(func() { errs[i] = h.startNode(n) })
 	}
 	wg.Wait()
@@ -352,7 +363,11 @@
 	n.life++
 	n.conf.Seed = fmt.Sprintf("%016x", uint64(h.o.Seed)*1_000_003+uint64(n.Number)*101+uint64(n.life))
 	n.conf.Known = h.hosts.Known(n.Name)
-	proc, err := process.Start(h.o.Program, h.dir, n.conf)
+	more, err := h.operator(n.Name)
+	if err != nil {
+		return err
+	}
+	proc, err := process.Start(h.o.Program, h.dir, n.conf, more...)
 	if err != nil {
 		return err
 	}
@@ -378,6 +393,9 @@
 		n.mu.Unlock()
 	}
 	h.hosts.Close()
+	for _, l := range h.cuts {
+		l.Close()
+	}
 	for _, t := range h.slots {
 		for _, l := range t.links {
 			l.Close()
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -143,6 +143,7 @@
 	WhatTerm: {nodes: true}, WhatDrain: {servers: true}, WhatReplace: {servers: true},
 	WhatLink: {servers: true, nodes: true}, WhatSpoil: {servers: true, part: true}, WhatSlow: {part: true, none: true},
 	WhatOutage: {none: true}, WhatLag: {none: true}, WhatForget: {none: true}, WhatFlap: {servers: true},
+	WhatStop: {nodes: true}, WhatCut: {nodes: true}, WhatPeers: {nodes: true},
 }
 
 func (s *Scenario) checkFault(f Fault) (field, text string) {
@@ -197,6 +198,16 @@
 		return "every", "want every = \"500ms\" or so, 10ms at least"
 	case f.What == WhatLag && f.Delay.Duration == 0:
 		return "delay", "want delay = how much later changes are told"
+	case f.What != WhatPeers && (len(f.To) > 0 || f.Way != "" || f.Jitter.Duration > 0 || f.Double > 0):
+		return "", "to, way, jitter and double go with what = \"peers\"; remove them"
+	case f.Way != "" && f.Way != "out" && f.Way != "in":
+		return "way", "want out or in; left out it is both"
+	case f.What == WhatPeers && f.State != "" && f.State != "black-hole":
+		return "state", "want black-hole, or loss, delay, jitter or double"
+	case f.What == WhatPeers && f.State == "" && f.Loss == 0 && f.Delay.Duration == 0 && f.Jitter.Duration == 0 && f.Double == 0:
+		return "", "a fault of peers wants state, loss, delay, jitter or double"
+	case !isShare(f.Double):
+		return "double", "want a share, 0 to 1"
 	case !isShare(f.Loss):
 		return "loss", "want a share, 0 to 1"
 	case f.State != "" && f.State != "half-open" && f.State != "reset" && f.State != "black-hole":
@@ -210,7 +221,7 @@
 // checkOverlap rejects orders that cannot be carried out: a process that is
 // acted on while another fault holds it down.
 func (s *Scenario) checkOverlap() (key, text string) {
-	down := map[string]bool{WhatSilent: true, WhatKill: true, WhatLost: true, WhatLostNodes: true, WhatTerm: true, WhatReplace: true, WhatHang: true}
+	down := map[string]bool{WhatStop: true, WhatSilent: true, WhatKill: true, WhatLost: true, WhatLostNodes: true, WhatTerm: true, WhatReplace: true, WhatHang: true}
 	for i, f := range s.Faults {
 		for j, g := range s.Faults[:i] {
 			if !down[f.What] || !down[g.What] || f.At.Duration >= g.At.Duration+max(g.For.Duration, time.Millisecond) ||
@@ -238,12 +249,12 @@
 func (s *Scenario) hit(f Fault) (servers, nodes map[string]bool) {
 	servers, nodes = map[string]bool{}, map[string]bool{}
 	xs, ns := s.Pick(f.Who)
-	if f.What != WhatTerm {
+	if f.What != WhatTerm && f.What != WhatStop {
 		for _, x := range xs {
 			servers[x.Name] = true
 		}
 	}
-	if f.What == WhatTerm || f.What == WhatKill || f.What == WhatLostNodes {
+	if f.What == WhatTerm || f.What == WhatStop || f.What == WhatKill || f.What == WhatLostNodes {
 		for _, n := range ns {
 			nodes[n.Name] = true
 		}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -22,6 +22,7 @@
 	Halls  []Hall  `toml:"hall"`
 	Faults []Fault `toml:"fault"`
 	Must   Must    `toml:"must"`
+	Fleet  bool    `toml:"fleet,omitempty"` // nodes tell one another what they act on, as the operator's [fleet] has them do
 }
 
 // Load is what clients ask for, by the brief's class table.
@@ -80,6 +81,9 @@
 	WhatLag       = "discovery-lag"     // changes are told so much later
 	WhatForget    = "discovery-restart" // discovery starts again at a lower generation
 	WhatFlap      = "flap"              // a server goes up and down on the list while its process runs on
+	WhatStop      = "stop"              // a node's process stands still (SIGSTOP), and goes on at the end
+	WhatCut       = "cut-discovery"     // nothing passes between a node and discovery
+	WhatPeers     = "peers"             // the ways of datagrams between nodes change
 )
 
 // Fault is one thing that goes wrong, from At on for a time.
@@ -94,7 +98,11 @@
 	Every  Span     `toml:"every,omitempty"`  // flap: time between changes
 	Delay  Span     `toml:"delay,omitempty"`  // link: one way; discovery-lag: on top
 	Loss   float64  `toml:"loss,omitempty"`   // link: share of segments lost; each costs a retransmission
-	State  string   `toml:"state,omitempty"`  // link: "", half-open, reset or black-hole
+	State  string   `toml:"state,omitempty"`  // link: "", half-open, reset or black-hole; peers: "" or black-hole
+	To     []string `toml:"to,omitempty"`     // peers: the other ends; all nodes if empty
+	Way    string   `toml:"way,omitempty"`    // peers: "out" or "in", of who; both if empty
+	Jitter Span     `toml:"jitter,omitempty"` // peers: up to so much on top, so that datagrams overtake one another
+	Double float64  `toml:"double,omitempty"` // peers: share of datagrams that come twice
 }
 
 // Must is what must hold after the run. A rule that breaks always fails it.
@@ -196,3 +204,28 @@
 	}
 	return text
 }
+
+// Ways lists the ways of datagrams that a fault of peers changes: from node to
+// node, by number.
+func (s *Scenario) Ways(f *Fault) [][2]int {
+	_, who := s.Pick(f.Who)
+	_, to := s.Pick(f.To)
+	if len(f.To) == 0 {
+		to = s.Nodes()
+	}
+	var out [][2]int
+	for _, a := range who {
+		for _, b := range to {
+			if a.Number == b.Number {
+				continue
+			}
+			if f.Way != "in" {
+				out = append(out, [2]int{a.Number, b.Number})
+			}
+			if f.Way != "out" {
+				out = append(out, [2]int{b.Number, a.Number})
+			}
+		}
+	}
+	return out
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -34,6 +34,8 @@
 	holdsPerNarrow = 3        // calls of a watch that end within the time after which a node narrows
 	mostRecords    = 16 << 20 // bytes of a record file; then it is set aside and begun anew
 	closedHoldOff  = time.Second
+	unreadTime     = 150 * time.Millisecond // after a stop, in which what came meanwhile is read
+	spareTime      = 120 * time.Millisecond // that a request which waits must have left: longer than a tick
 )
 
 // fleet is the node's side of package follow: it carries out what the agent
@@ -45,6 +47,8 @@
 	changed bool
 	used    uint64 // digest of the servers that may be used while it has narrowed
 	turnAt  atomic.Int64
+	wokeAt  atomic.Int64
+	gap     atomic.Int64 // how long it stood still then
 	shut    atomic.Bool
 }
 
@@ -104,6 +108,23 @@
 	return now-balance.Time(f.turnAt.Load()) > f.cfg.Wake
 }
 
+// Late is how long a request that is read now may have waited unread, as the whole
+// process stood still: its time counts from its client's sending.
+func (n *Node) Late() time.Duration {
+	f := n.fleet
+	if f == nil {
+		return 0
+	}
+	now := n.now()
+	if gap := now - balance.Time(f.turnAt.Load()); gap > f.cfg.Wake {
+		return gap // the loop has not found out yet
+	}
+	if now-balance.Time(f.wokeAt.Load()) < unreadTime {
+		return time.Duration(f.gap.Load())
+	}
+	return 0
+}
+
 // turn marks a turn of the loop. After a gap the process stood still: all that it
 // believes is old, and what has run out of time is answered first.
 func (n *Node) turn() {
@@ -113,6 +134,8 @@
 	now := n.now()
 	gap := now - balance.Time(n.fleet.turnAt.Load())
 	if gap > n.fleet.cfg.Wake {
+		n.fleet.gap.Store(int64(gap))
+		n.fleet.wokeAt.Store(int64(now))
 		for _, r := range n.requests {
 			if time.Until(r.Deadline) <= 0 && n.finish(r, Answer{Status: http.StatusBadGateway}) {
 				n.handle(balance.RequestAbandoned{ID: r.ID})
@@ -205,11 +228,13 @@
 // or has been refused.
 func (n *Node) admit(r *Request) bool {
 	f := n.fleet
-	if until := f.agent.Holds(); until > 0 && n.now() < until && len(f.waiting) < n.cfg.Settings.MaxOpen {
+	until := f.agent.Holds()
+	holds := until > 0 && n.now() < until
+	if holds && time.Until(r.Deadline) > spareTime && len(f.waiting) < n.cfg.Settings.MaxOpen {
 		f.waiting = append(f.waiting, r)
 		return false
 	}
-	if f.agent.Takes() {
+	if !holds && f.agent.Takes() {
 		return true
 	}
 	f.agent.Recorder().RefusedOld()
@@ -228,15 +253,16 @@
 	if f == nil || len(f.waiting) == 0 {
 		return
 	}
-	if until := f.agent.Holds(); !end && until > 0 && n.now() < until {
-		return
-	}
+	until := f.agent.Holds()
+	holds := !end && until > 0 && n.now() < until
 	waiting := f.waiting
 	f.waiting = nil
 	for _, r := range waiting {
 		switch {
 		case r.over.Load(): // its client is gone
-		case end || time.Until(r.Deadline) <= 0:
+		case holds && time.Until(r.Deadline) > spareTime:
+			f.waiting = append(f.waiting, r)
+		case holds || end || time.Until(r.Deadline) <= 0:
 			n.finish(r, Answer{Status: http.StatusServiceUnavailable})
 		default:
 			n.arrive(r)
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -11,6 +11,7 @@
 // Fleet switches on that nodes tell one another what they act on; docs/audit.md
 // says what each key does. What is left out keeps its default.
 type Fleet struct {
+	Watch      bool        `toml:"only_watch"`
 	Hello      strict.Span `toml:"hello"`
 	HelloTo    int         `toml:"hello_to"`
 	Fanout     int         `toml:"fanout"`
@@ -31,7 +32,7 @@
 
 // Settings are the figures as package follow takes them.
 func (f *Fleet) Settings() follow.Settings {
-	return follow.Settings{Hello: f.Hello.Duration, HelloTo: f.HelloTo, Fanout: f.Fanout, Narrow: f.Narrow.Duration,
+	return follow.Settings{Watch: f.Watch, Hello: f.Hello.Duration, HelloTo: f.HelloTo, Fanout: f.Fanout, Narrow: f.Narrow.Duration,
 		Close: f.Close.Duration, Behind: f.Behind.Duration, Reopen: f.Reopen.Duration, OneTeller: f.OneTeller,
 		AllTellers: f.AllTellers, Part: f.Part, Doubt: f.Doubt.Duration, Wake: f.Wake.Duration, WakeHold: f.WakeHold.Duration}
 }
