ivylockctl fleet: versions, audit, changes and why, from consoles or files

Change: cmd/ivylockctl on cobra, internal/ctl: tables, JSON, a picture of versions over time; consoles that do not answer and lines that are spoilt are named, whole ones count; exit code 1 where something was found.

Ruled out: the lead of clocks against the process's own clock (an hour-off process came out up to 2 s early).

--- /dev/null
+++ b/fleet/audit/audit_test.go
@@ -0,0 +1,255 @@
+package audit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"barrowscale/fleet/version"
+)
+
+const began = 1_800_000_000 * time.Second
+
+// proc is a process of a made-up fleet whose truth is known.
+type proc struct {
+	clock *version.Clock
+	rec   *version.Recorder
+	skew  time.Duration
+	n     int
+	now   time.Duration
+	list  version.List
+}
+
+func (p *proc) wall() time.Duration { return p.now + p.skew }
+
+// fleetOf makes processes of one list that hear one another.
+func fleetOf(n int, skew func(i int) time.Duration) []*proc {
+	out := make([]*proc, n)
+	for i := range out {
+		p := &proc{clock: &version.Clock{}, n: i, now: began}
+		if skew != nil {
+			p.skew = skew(i)
+		}
+		p.rec = version.NewRecorder(fmt.Sprintf("n%d", i), i, p.wall(), p.clock)
+		out[i] = p
+		p.acts(40)
+	}
+	return out
+}
+
+func (p *proc) acts(generation uint32) {
+	p.list = version.List{Generation: generation, Digest: generation}
+	p.rec.Acts(p.wall(), version.Vector{List: p.list, Form: version.Form})
+	p.rec.Confirmed(p.wall())
+	p.rec.Reached(p.list)
+}
+
+// hears takes a word of another process, as package follow does.
+func (p *proc) hears(o *proc) {
+	v := version.Vector{List: o.list, Form: version.Form, Clock: o.clock.Now(o.wall())}
+	p.clock.Hear(p.wall(), v.Clock)
+	p.rec.Hears(p.wall(), o.n, v)
+}
+
+func at(all []*proc, d time.Duration) {
+	for _, p := range all {
+		p.now = began + d
+	}
+}
+
+func talk(all []*proc, rng *rand.Rand, deaf func(i int) bool) {
+	for _, p := range all {
+		for range 8 {
+			if o := all[rng.IntN(len(all))]; o != p && (deaf == nil || !deaf(p.n) && !deaf(o.n)) {
+				p.hears(o)
+			}
+		}
+	}
+}
+
+// Of 300 processes with clocks off by up to 2 s, one by an hour, and a tenth of the
+// records missing, the audit finds each that sent too late and each that is behind,
+// says unknown where it has nothing to go by, and says nothing that is not so.
+func TestThreeHundredProcesses(t *testing.T) {
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		all := fleetOf(300, func(i int) time.Duration {
+			if i == 77 {
+				return time.Hour
+			}
+			return time.Duration(rng.IntN(4000)-2000) * time.Millisecond
+		})
+		behind, late := map[int]bool{}, map[int]bool{}
+		for range 3 { // words go round until the clocks are in line
+			talk(all, rng, nil)
+		}
+		at(all, 10*time.Second)
+		for range 3 {
+			talk(all, rng, nil)
+		}
+		for len(behind) < 10 {
+			behind[rng.IntN(300)] = true
+		}
+		delete(behind, 77)
+		for _, p := range all {
+			if !behind[p.n] {
+				p.now += time.Duration(rng.IntN(200)) * time.Millisecond
+				p.acts(41)
+				p.rec.Withdrawn(p.wall(), "s-1", version.Draining, p.list, version.Own)
+			}
+		}
+		at(all, 12*time.Second)
+		for n := range behind {
+			if rng.IntN(2) == 0 {
+				late[n] = true
+				all[n].rec.Sends("s-1").Sent(all[n].wall())
+			}
+		}
+		at(all, 20*time.Second)
+		talk(all, rng, nil)
+		var records []version.Record
+		missing := map[int]bool{}
+		for _, p := range all {
+			if rng.IntN(10) == 0 {
+				missing[p.n] = true
+				continue
+			}
+			records = append(records, p.rec.Take(p.wall()), p.rec.Take(p.wall())) // one of them twice
+		}
+		o := Defaults()
+		o.Size = 300
+		a := New(records, o)
+		said := map[int]bool{}
+		for _, b := range a.Breaks() {
+			said[b.Number] = true
+			if !late[b.Number] {
+				t.Errorf("seed %d: %s is said to have sent too late: %v", seed, b.Process, b.Path)
+			}
+		}
+		right := 0
+		for _, p := range a.Processes() {
+			if late[p.Number] && !missing[p.Number] && !said[p.Number] {
+				t.Errorf("seed %d: %s sent too late and is not named", seed, p.Process)
+			}
+			is := p.State == IsBehind
+			switch {
+			case p.State == NotKnown:
+				if !missing[p.Number] {
+					t.Errorf("seed %d: %s is unknown although its record is there: %s", seed, p.Process, p.Why)
+				}
+			case is != behind[p.Number]:
+				t.Errorf("seed %d: %s is said to be %s (%s): %s", seed, p.Process, p.State, p.Sure, p.Why)
+			default:
+				right++
+			}
+		}
+		if right < 285 {
+			t.Errorf("seed %d: %d of 300 judged", seed, right)
+		}
+		var c Change
+		for _, x := range a.Changes() {
+			if x.Version.Generation == 41 {
+				c = x
+			}
+		}
+		if c.All != -1 || c.Nine < 0 || c.Nine > 600*time.Millisecond || len(c.Never) == 0 {
+			t.Errorf("seed %d: the change: %+v", seed, c)
+		}
+	}
+}
+
+// Why a process is behind, and that nothing is claimed without evidence.
+func TestWhyAProcessIsBehind(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		do   func(p *proc) (ended, gone bool) // what happens to process 4 from 10 s on; gone: no record after it
+		deaf bool
+		want State
+		sure Sure
+		why  string
+	}{
+		{"cut off from its source", func(*proc) (bool, bool) { return false, false }, false, IsBehind, Certain, "cut off from its source"},
+		{"cut off from all", func(*proc) (bool, bool) { return false, false }, true, IsBehind, Certain, "cut off: neither"},
+		{"stopped", func(p *proc) (bool, bool) {
+			p.now += 9 * time.Second
+			p.rec.Stopped(p.wall(), 9*time.Second)
+			return false, false
+		}, false, IsBehind, Certain, "stopped: it stood still for 9s"},
+		{"starved", func(p *proc) (bool, bool) {
+			for range 5 {
+				p.now += 900 * time.Millisecond
+				p.rec.Stopped(p.wall(), 700*time.Millisecond)
+			}
+			return false, false
+		}, false, IsBehind, Certain, "starved"},
+		{"led by neighbours", func(p *proc) (bool, bool) {
+			p.rec.Reached(version.List{Generation: 41})
+			return false, false
+		}, false, Led, Certain, "cut off from its source"},
+		{"crashed", func(*proc) (bool, bool) { return false, true }, true, NotKnown, Unknown, "crashed, is stopped"},
+		{"ended", func(*proc) (bool, bool) { return true, true }, true, Ended, Certain, "in order"},
+	} {
+		all := fleetOf(6, nil)
+		rng := rand.New(rand.NewPCG(5, 5))
+		for range 4 {
+			talk(all, rng, nil)
+		}
+		at(all, 10*time.Second)
+		early := all[4].rec.Take(all[4].wall())
+		ended, gone := x.do(all[4])
+		early.Ended = ended
+		for _, p := range all {
+			if p.n != 4 {
+				p.now = began + 10*time.Second
+				p.acts(41)
+			}
+		}
+		at(all, 20*time.Second)
+		for range 4 {
+			talk(all, rng, func(i int) bool { return x.deaf && i == 4 })
+		}
+		var records []version.Record
+		for _, p := range all {
+			if p.n != 4 {
+				p.rec.Confirmed(p.wall())
+			}
+			if r := p.rec.Take(p.wall()); p.n == 4 && gone {
+				records = append(records, early)
+			} else {
+				records = append(records, r)
+			}
+		}
+		a := New(records, Defaults())
+		p := a.Processes()[4]
+		if p.State != x.want || p.Sure != x.sure || !strings.Contains(p.Why, x.why) {
+			t.Errorf("%s: %s (%s): %s", x.name, p.State, p.Sure, p.Why)
+		}
+		if other := a.Processes()[2]; other.State != UpToDate {
+			t.Errorf("%s: a process that is not: %+v", x.name, other)
+		}
+	}
+}
+
+// One process that claims a huge version makes nobody else behind.
+func TestOneAloneIsNotTheNewest(t *testing.T) {
+	all := fleetOf(5, nil)
+	rng := rand.New(rand.NewPCG(6, 6))
+	for range 3 {
+		talk(all, rng, nil)
+	}
+	at(all, 5*time.Second)
+	all[2].acts(9000)
+	talk(all, rng, nil)
+	var records []version.Record
+	for _, p := range all {
+		p.rec.Confirmed(p.wall())
+		records = append(records, p.rec.Take(p.wall()))
+	}
+	for _, p := range New(records, Defaults()).Processes() {
+		if p.State == IsBehind {
+			t.Errorf("%s is said to be behind one that is alone", p.Process)
+		}
+	}
+}
--- a/fleet/audit/behind.go
+++ b/fleet/audit/behind.go
@@ -167,7 +167,7 @@
 		p.Why = l.clock.Why
 		return
 	case l.Ended:
-		p.State, p.Sure, p.Why = Ended, Certain, "it ended in order at "+clockOf(l.At)
+		p.State, p.Sure, p.Why = Ended, Certain, "it ended in order at "+Clocked(l.At)
 		return
 	case silent > fresh && a.now.Sub(word.At) > fresh:
 		p.Why = fmt.Sprintf("its record ends %v before the newest one and nobody heard it since: it crashed, is stopped, or its record was not to be had", silent.Round(100*time.Millisecond))
@@ -215,7 +215,7 @@
 		if !heardAny {
 			return "cut off: neither its source nor another process is heard there"
 		}
-		return "cut off from its source, which it heard last at " + clockOf(l.Confirmed)
+		return "cut off from its source, which it heard last at " + Clocked(l.Confirmed)
 	case l.ClockRefused > 0 && l.clock.Shift == 0:
 		return "its source speaks and is itself behind, or another discovery; clocks were not believed there"
 	}
--- a/fleet/audit/breaks.go
+++ b/fleet/audit/breaks.go
@@ -185,30 +185,30 @@
 			break
 		}
 		if k.From == version.Own {
-			say("%s knew at %s by its own source, version %v", k.Process, clockOf(k.Known), k.List)
+			say("%s knew at %s by its own source, version %v", k.Process, Clocked(k.Known), k.List)
 		} else {
-			say("%s knew at %s by %s, version %v", k.Process, clockOf(k.Known), a.name(k.From), k.List)
+			say("%s knew at %s by %s, version %v", k.Process, Clocked(k.Known), a.name(k.From), k.List)
 		}
 	}
 	heard := false
 	for _, k := range e.knows {
 		if h, ok := l.heard(k.Number); ok && k.life != l && h.At > k.Known && h.At <= at {
-			say("%s heard %s at %s, which knew by then", l.Process, k.Process, clockOf(h.At))
+			say("%s heard %s at %s, which knew by then", l.Process, k.Process, Clocked(h.At))
 			heard = true
 			break
 		}
 	}
 	if k, knew := e.of(l); knew && k.Known <= at {
-		say("%s knew itself since %s", l.Process, clockOf(k.Known))
+		say("%s knew itself since %s", l.Process, Clocked(k.Known))
 	} else if !heard {
 		say("no word from one that knew to %s is on record before its last send", l.Process)
 	}
 	for _, s := range l.Stops {
 		if s.Until <= at && at.Sub(s.Until) < time.Second {
-			say("%s stood still for %v until %s", l.Process, s.For.Round(time.Millisecond), clockOf(s.Until))
+			say("%s stood still for %v until %s", l.Process, s.For.Round(time.Millisecond), Clocked(s.Until))
 		}
 	}
-	say("%s sent last at %s, acting on %v", l.Process, clockOf(at), l.actedOn(at))
+	say("%s sent last at %s, acting on %v", l.Process, Clocked(at), l.actedOn(at))
 	return out
 }
 
@@ -222,8 +222,3 @@
 	}
 	return v
 }
-
-// clockOf words a time of day, UTC.
-func clockOf(s version.Stamp) string {
-	return time.UnixMilli(s.Time().Milliseconds()).UTC().Format("15:04:05.000")
-}
--- a/fleet/version/record.go
+++ b/fleet/version/record.go
@@ -135,7 +135,7 @@
 	Process int    `json:"process"`
 	Version Vector `json:"version"`
 	At      Stamp  `json:"at"`   // this process's clock
-	Lead    int64  `json:"lead"` // ms by which the teller's stamp was ahead of this process's own clock, at the latest word
+	Lead    int64  `json:"lead"` // ms by which the teller's stamp was ahead of this process's, at the latest word
 	Count   uint64 `json:"count"`
 }
 
@@ -290,7 +290,7 @@
 		h = &Heard{Process: from}
 		r.heard[from] = h
 	}
-	h.Version, h.At, h.Lead = v, r.clock.Last(), (v.Clock.Time() - now).Milliseconds()
+	h.Version, h.At, h.Lead = v, r.clock.Last(), (v.Clock.Time() - max(now, r.clock.Last().Time())).Milliseconds()
 	h.Count++
 }
 
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,245 @@
+// Package ctl is ivylockctl's command line: it reads the records of processes from
+// their consoles or from files and shows what package audit makes of them.
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"barrowscale/fleet/audit"
+
+	"github.com/spf13/cobra"
+)
+
+// The exit codes.
+const (
+	Fine    = 0
+	Found   = 1 // sends that were too late, or a process that is behind
+	Misuse  = 2 // unknown words
+	Nothing = 3 // no record was to be had
+)
+
+// errFound ends a command that has shown something that is wrong.
+var errFound = errors.New("found")
+
+// errNothing ends a command that had no record to go by.
+var errNothing = errors.New("no record was to be had; name consoles with --console, or files with --file")
+
+// app is one call.
+type app struct {
+	out, err io.Writer
+	from     source
+	json     bool
+	plot     string
+	options  audit.Options
+}
+
+// Run carries out one call and gives its exit code.
+func Run(args []string, out, errs io.Writer) int {
+	a := &app{out: out, err: errs, options: audit.Defaults()}
+	root := a.root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	switch err := root.Execute(); {
+	case err == nil:
+		return Fine
+	case errors.Is(err, errFound):
+		return Found
+	case errors.Is(err, errNothing):
+		fmt.Fprintln(errs, "ivylockctl:", err)
+		return Nothing
+	default:
+		fmt.Fprintln(errs, "ivylockctl:", err)
+		return Misuse
+	}
+}
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{Use: "ivylockctl", Short: "asks the fleet", SilenceErrors: true, SilenceUsage: true}
+	fleet := &cobra.Command{Use: "fleet", Short: "what the fleet's processes have acted on"}
+	flags := fleet.PersistentFlags()
+	flags.StringSliceVarP(&a.from.consoles, "console", "c", nil, "a process's console, host:port; several by commas")
+	flags.StringSliceVarP(&a.from.files, "file", "f", nil, "a file of records; several by commas")
+	flags.DurationVar(&a.from.wait, "wait", 2*time.Second, "for each console")
+	flags.BoolVar(&a.json, "json", false, "JSON in place of a table")
+	flags.DurationVar(&a.options.Grace, "grace", a.options.Grace, "after a withdrawal, in which sends may still go there")
+	flags.IntVar(&a.options.Size, "size", 0, "processes that the fleet has; 0: as many as the records name")
+	versions := a.command("versions", "who acts on which version, and who is behind", a.versions)
+	versions.Flags().StringVar(&a.plot, "plot", "", "draws the versions of each process over time into a file (.png, .svg or .pdf)")
+	why := a.command("why NODE", "one process: what it acted on, when, and what else is known", nil)
+	why.Args = cobra.ExactArgs(1)
+	why.RunE = func(_ *cobra.Command, args []string) error {
+		return a.with(func(x *audit.Audit) error { return a.why(x, args[0]) })
+	}
+	fleet.AddCommand(versions, why,
+		a.command("audit", "sends that happened although the sender, or another process, knew better", a.breaks),
+		a.command("changes", "how long each version took to reach the fleet", a.changes))
+	root.AddCommand(fleet)
+	return root
+}
+
+func (a *app) command(use, short string, do func(*audit.Audit) error) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return a.with(do) }}
+}
+
+// with reads the records and hands them to a command.
+func (a *app) with(do func(*audit.Audit) error) error {
+	records, notes := a.from.read()
+	for _, n := range notes {
+		fmt.Fprintln(a.err, "ivylockctl:", n)
+	}
+	if len(records) == 0 {
+		return errNothing
+	}
+	return do(audit.New(records, a.options))
+}
+
+// table writes rows under a head, or a value in JSON.
+func (a *app) table(v any, head string, rows func(w io.Writer)) error {
+	if a.json {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(a.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, head)
+	rows(w)
+	return w.Flush()
+}
+
+func (a *app) versions(x *audit.Audit) error {
+	all := x.Processes()
+	if a.plot != "" {
+		if err := plotSpans(x.Spans(), a.plot); err != nil {
+			return err
+		}
+	}
+	err := a.table(all, "process\tstate\tacts on\twithdrawals to\tbehind\tsettings\tbuild\tstanding\tsure\twhy", func(w io.Writer) {
+		for _, p := range all {
+			by := "-"
+			if p.By > 0 {
+				by = fmt.Sprint(p.By)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%v\t%v\t%s\t%04x\t%04x\t%s\t%s\t%s\n", p.Process, p.State, p.Version.List, p.Reached, by,
+				p.Version.Settings, p.Version.Build, orDash(p.Standing), p.Sure, orDash(p.Why))
+		}
+	})
+	for _, p := range all {
+		if err == nil && p.State == audit.IsBehind {
+			return errFound
+		}
+	}
+	return err
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func (a *app) breaks(x *audit.Audit) error {
+	all := x.Breaks()
+	err := a.table(all, "process\tserver\twithdrawn by\tsends\tlast\tafter\tknew\tsure", func(w io.Writer) {
+		for _, b := range all {
+			knew, sends := "another", fmt.Sprint(b.Least)
+			if b.Own {
+				knew = "itself"
+			}
+			if b.Most > b.Least {
+				sends = fmt.Sprintf("%d to %d", b.Least, b.Most)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%v (%s)\t%s\t%s\t%v\t%s\t%s\n", b.Process, b.Server, b.Version, b.State, sends, audit.Clocked(b.Last),
+				b.Late.Round(time.Millisecond), knew, b.Sure)
+		}
+		if len(all) == 0 {
+			fmt.Fprintf(w, "none on record of %d processes; %d are unknown\n", len(x.Processes()), unknown(x))
+		}
+	})
+	if err == nil && len(all) > 0 {
+		return errFound
+	}
+	return err
+}
+
+func unknown(x *audit.Audit) int {
+	n := 0
+	for _, p := range x.Processes() {
+		if p.State == audit.NotKnown {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *app) changes(x *audit.Audit) error {
+	all := x.Changes()
+	took := func(d time.Duration) string {
+		if d < 0 {
+			return "never"
+		}
+		return d.Round(time.Millisecond).String()
+	}
+	return a.table(all, "version\tfirst\tat\thalf\tnine in ten\tall\treached\tnever\tno record", func(w io.Writer) {
+		for _, c := range all {
+			fmt.Fprintf(w, "%v\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n", c.Version, c.First, audit.Clocked(c.At), took(c.Half), took(c.Nine), took(c.All),
+				c.Reached, len(c.Never), c.NoRecord)
+		}
+	})
+}
+
+// story is all that is known of one process.
+type story struct {
+	audit.Process
+	Spans  []audit.Span  `json:"spans"`
+	Breaks []audit.Break `json:"breaks"`
+	Events []audit.Event `json:"events"`
+}
+
+func (a *app) why(x *audit.Audit, name string) error {
+	var s story
+	found := false
+	for _, p := range x.Processes() {
+		if p.Process == name {
+			s.Process, found = p, true
+		}
+	}
+	if !found {
+		return fmt.Errorf("no process %q on record; fleet versions lists those that are", name)
+	}
+	for _, sp := range x.Spans() {
+		if sp.Process == name {
+			s.Spans = append(s.Spans, sp)
+		}
+	}
+	for _, b := range x.Breaks() {
+		if b.Process == name {
+			s.Breaks = append(s.Breaks, b)
+		}
+	}
+	s.Events = x.Events(name)
+	if a.json {
+		return a.table(s, "", nil)
+	}
+	fmt.Fprintf(a.out, "%s: %s (%s)", s.Process.Process, s.State, s.Sure)
+	if s.Why != "" {
+		fmt.Fprintf(a.out, ": %s", s.Why)
+	}
+	fmt.Fprintln(a.out)
+	for _, e := range s.Events {
+		fmt.Fprintf(a.out, "  %s  %s\n", audit.Clocked(e.At), e.What)
+	}
+	for _, b := range s.Breaks {
+		fmt.Fprintf(a.out, "sent %d or more to %s too late, the last %v after it was withdrawn:\n", b.Least, b.Server, b.Late.Round(time.Millisecond))
+		for _, line := range b.Path {
+			fmt.Fprintf(a.out, "  %s\n", line)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,109 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"barrowscale/fleet/version"
+)
+
+// fleet gives the records of three processes; the third was cut off from its source
+// and sent to a server that was withdrawn.
+func fleet() []version.Record {
+	const began = 1_800_000_000 * time.Second
+	var recs []*version.Recorder
+	var clocks []*version.Clock
+	for i := range 3 {
+		clocks = append(clocks, &version.Clock{})
+		recs = append(recs, version.NewRecorder(fmt.Sprintf("n%d", i), i, began, clocks[i]))
+	}
+	acts := func(i int, now time.Duration, generation uint32) version.Vector {
+		v := version.Vector{List: version.List{Generation: generation, Digest: generation}, Form: version.Form}
+		recs[i].Acts(now, v)
+		recs[i].Confirmed(now)
+		recs[i].Reached(v.List)
+		return v
+	}
+	for i := range 3 {
+		acts(i, began+time.Second, 40)
+	}
+	for i := range 2 {
+		v := acts(i, began+5*time.Second, 41)
+		recs[i].Withdrawn(began+5*time.Second, "s-1", version.Draining, v.List, version.Own)
+	}
+	recs[2].Sends("s-1").Sent(began + 8*time.Second)
+	var out []version.Record
+	for i := range 3 {
+		for j := range 3 {
+			if i != j {
+				v := version.Vector{List: version.List{Generation: 41 - uint32(j/2), Digest: 41 - uint32(j/2)}, Form: version.Form, Clock: clocks[j].Now(began + 9*time.Second)}
+				recs[i].Hears(began+9*time.Second, j, v)
+			}
+		}
+	}
+	for i := range 2 {
+		recs[i].Confirmed(began + 9*time.Second)
+	}
+	for i := range 3 {
+		out = append(out, recs[i].Take(began+10*time.Second))
+	}
+	return out
+}
+
+func TestCommands(t *testing.T) {
+	records := fleet()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/fleet/record", func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(records[0]) })
+	console := httptest.NewServer(mux)
+	defer console.Close()
+	dir := t.TempDir()
+	file := filepath.Join(dir, "records")
+	var raw []byte
+	for _, r := range records[1:] {
+		raw, _ = version.AppendLine(raw, &r)
+	}
+	if err := os.WriteFile(file, append(raw, "cut sh"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	from := []string{"--console", strings.TrimPrefix(console.URL, "http://") + ",127.0.0.1:1", "--file", file}
+	picture := filepath.Join(dir, "versions.png")
+	for _, x := range []struct {
+		args []string
+		code int
+		out  []string // what it prints
+		err  string
+	}{
+		{append([]string{"fleet", "versions", "--plot", picture, "--size", "4"}, from...), Found, []string{"n0", "current", "behind", "cut off from its source", "process 3", "unknown"}, "1 lines are spoilt"},
+		{append([]string{"fleet", "audit"}, from...), Found, []string{"n2", "s-1", "another", "certain"}, "no record from 127.0.0.1:1"},
+		{append([]string{"fleet", "audit", "--json"}, from...), Found, []string{`"server": "s-1"`, `"path"`}, ""},
+		{append([]string{"fleet", "changes"}, from...), Fine, []string{"0.41", "never"}, ""},
+		{append([]string{"fleet", "why", "n2"}, from...), Fine, []string{"behind (certain)", "n0 knew at", "sent 1 or more to s-1 too late, the last 3s"}, ""},
+		{append([]string{"fleet", "why", "n9"}, from...), Misuse, nil, "no process \"n9\""},
+		{[]string{"fleet", "audit", "--file", filepath.Join(dir, "none")}, Nothing, nil, "no record was to be had"},
+		{[]string{"fleet", "audit", "--frist", "x"}, Misuse, nil, "unknown flag"},
+	} {
+		var out, errs bytes.Buffer
+		if code := Run(x.args, &out, &errs); code != x.code {
+			t.Errorf("%v: exit code %d, want %d: %s", x.args, code, x.code, errs.String())
+		}
+		for _, want := range x.out {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("%v: no %q in:\n%s", x.args, want, out.String())
+			}
+		}
+		if !strings.Contains(errs.String(), x.err) {
+			t.Errorf("%v: no %q in %q", x.args, x.err, errs.String())
+		}
+	}
+	if png, err := os.ReadFile(picture); err != nil || !bytes.HasPrefix(png, []byte("\x89PNG")) {
+		t.Errorf("no picture: %v", err)
+	}
+}
