Control service: proxies that do not follow are named, and nothing is learnt from them

Change: fleet/steered judges each proxy by what it was sent, answered and reports to have sent after it had accepted; version.Control puts two control services, or two lives of one, in order. internal/xds tells of answers, internal/control names who does not follow and has steer learn nothing from it (what it has out still weighs on a server). A proxy is counted on again by itself.

Ruled out: leaving such a proxy's reports out altogether, which takes load off a server that is there.

--- /dev/null
+++ b/fleet/steered/steered.go
@@ -0,0 +1,241 @@
+// Package steered decides which of the proxies that a control service steers can
+// be counted on: whether each accepts what it is sent, and acts on what it has
+// accepted, by its own load reports. It does no I/O, reads no clock and starts no
+// goroutine.
+package steered
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"barrowscale/fleet/version"
+)
+
+// Time is a reading of the caller's monotonic clock.
+type Time = time.Duration
+
+const (
+	maxOut     = 4096 // withdrawn servers that are kept
+	strayTwice = 2    // reports in a row with sends to a withdrawn server, or without any, that change a verdict
+)
+
+// Settings of a table.
+type Settings struct {
+	Life    version.Stamp // of the control service
+	Within  time.Duration // in which a proxy must answer what it is sent
+	Grace   time.Duration // after it has accepted a withdrawal, in which sends may still go there
+	Proxies int           // that are kept; more are counted
+}
+
+// Server names a withdrawn server, by either name that load reports use.
+type Server struct{ ID, Addr string }
+
+// Sends is what a load report says of one server, by either name.
+type Sends struct {
+	Server
+	Issued uint64
+}
+
+// is tells whether a report names this server, by either name that it gives.
+func (s Server) is(named Server) bool {
+	return named.ID != "" && named.ID == s.ID || named.Addr != "" && named.Addr == s.Addr
+}
+
+type proxy struct {
+	version.Control
+	sentAt     Time
+	acceptedAt map[uint64]Time // when versions were accepted that withdraw something
+	state      version.ProxyState
+	why        string
+	strays     uint64 // in the last report
+	row        int    // reports in a row that had any; negative: that had none
+	total      uint64
+	refusal    string
+}
+
+type withdrawal struct {
+	Server
+	version uint64
+}
+
+// Table holds what is known of each proxy. It is not safe for concurrent use.
+type Table struct {
+	set     Settings
+	proxies map[string]*proxy
+	out     map[Server]withdrawal
+	number  uint64
+	Dropped uint64 // proxies and servers that there was no room for
+}
+
+// New makes a table that knows nothing.
+func New(s Settings) *Table {
+	return &Table{set: s, proxies: map[string]*proxy{}, out: map[Server]withdrawal{}}
+}
+
+// Change is a new verdict on a proxy.
+type Change struct {
+	Proxy string
+	State version.ProxyState
+	Why   string
+	// Counted is whether what it reports may be learnt from.
+	Counted bool
+	Turned  bool // Counted has changed
+}
+
+// Joined takes a proxy in; Left forgets it.
+func (t *Table) Joined(id string) {
+	if t.proxies[id] != nil {
+		return
+	}
+	if len(t.proxies) >= t.set.Proxies {
+		t.Dropped++
+		return
+	}
+	t.proxies[id] = &proxy{Control: version.Control{Life: t.set.Life, Published: t.number}, acceptedAt: map[uint64]Time{}}
+}
+
+func (t *Table) Left(id string) { delete(t.proxies, id) }
+
+// Published takes a new version and the servers that it withdraws.
+func (t *Table) Published(number uint64, out []Server) {
+	t.number = number
+	now := make(map[Server]withdrawal, len(out))
+	for _, s := range out {
+		w, known := t.out[s]
+		if !known {
+			if len(now) >= maxOut {
+				t.Dropped++
+				continue
+			}
+			w = withdrawal{s, number}
+		}
+		now[s] = w
+	}
+	t.out = now
+	for _, p := range t.proxies {
+		p.Published = number
+	}
+}
+
+// Sent says that a version went out to a proxy.
+func (t *Table) Sent(now Time, id string, number uint64) {
+	if p := t.proxies[id]; p != nil && number > p.Sent {
+		if p.Accepted >= p.Sent { // the oldest one without an answer counts
+			p.sentAt = now
+		}
+		p.Sent = number
+	}
+}
+
+// Answered says that a proxy has taken a version, or why it has not.
+func (t *Table) Answered(now Time, id string, number uint64, why string) {
+	p := t.proxies[id]
+	if p == nil {
+		return
+	}
+	if why != "" {
+		p.Refused, p.refusal = max(p.Refused, number), why
+		return
+	}
+	if number < p.Accepted {
+		return
+	}
+	p.Accepted = number
+	for s := range t.out { // at most one time a version, and only those that are still out
+		if v := t.out[s].version; v <= number {
+			if _, known := p.acceptedAt[v]; !known {
+				p.acceptedAt[v] = now
+			}
+		}
+	}
+	for v := range p.acceptedAt {
+		if !t.withdraws(v) {
+			delete(p.acceptedAt, v)
+		}
+	}
+}
+
+func (t *Table) withdraws(v uint64) bool {
+	for _, w := range t.out {
+		if w.version == v {
+			return true
+		}
+	}
+	return false
+}
+
+// Loaded takes a proxy's load report over an interval that ends now. Sends count
+// as strays where the whole of it lies after the grace.
+func (t *Table) Loaded(now Time, id string, interval time.Duration, loads []Sends) {
+	p := t.proxies[id]
+	if p == nil {
+		return
+	}
+	p.strays = 0
+	for _, l := range loads {
+		for _, w := range t.out {
+			if !w.is(l.Server) {
+				continue
+			}
+			if at, accepted := p.acceptedAt[w.version]; accepted && now-interval >= at+t.set.Grace {
+				p.strays += l.Issued
+			}
+		}
+	}
+	p.total += p.strays
+	switch {
+	case p.strays > 0:
+		p.row = max(p.row, 0) + 1
+	default:
+		p.row = min(p.row, 0) - 1
+	}
+}
+
+// Tick gives the verdicts that have changed, by proxy.
+func (t *Table) Tick(now Time) []Change {
+	var out []Change
+	for id, p := range t.proxies {
+		strays := uint64(0)
+		if p.row >= strayTwice || p.state == version.ProxyIdle && p.row > -strayTwice {
+			strays = max(1, p.strays)
+		}
+		state := p.Judge(now, p.sentAt, t.set.Within, strays)
+		if state == p.state {
+			continue
+		}
+		c := Change{Proxy: id, State: state, Counted: state.Follows(), Turned: state.Follows() != p.state.Follows()}
+		switch state {
+		case version.ProxyFrozen:
+			c.Why = fmt.Sprintf("version %d has been without an answer for %v", p.Sent, (now - p.sentAt).Round(time.Millisecond))
+		case version.ProxyRefuses:
+			c.Why = fmt.Sprintf("it turned version %d down: %s", p.Refused, p.refusal)
+		case version.ProxyIdle:
+			c.Why = fmt.Sprintf("it accepted version %d and reports sends to servers that it withdraws, %d in all", p.Accepted, p.total)
+		}
+		p.state, p.why = state, c.Why
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(x, y Change) int { return cmp.Compare(x.Proxy, y.Proxy) })
+	return out
+}
+
+// Row is how one proxy stands.
+type Row struct {
+	Proxy string
+	version.Control
+	State  version.ProxyState
+	Why    string
+	Strays uint64 // in all
+}
+
+// Rows lists all proxies by name.
+func (t *Table) Rows() []Row {
+	var out []Row
+	for id, p := range t.proxies {
+		out = append(out, Row{id, p.Control, p.state, p.why, p.total})
+	}
+	slices.SortFunc(out, func(x, y Row) int { return cmp.Compare(x.Proxy, y.Proxy) })
+	return out
+}
--- /dev/null
+++ b/fleet/steered/steered_test.go
@@ -0,0 +1,123 @@
+package steered
+
+import (
+	"testing"
+	"time"
+
+	"barrowscale/fleet/version"
+
+	"pgregory.net/rapid"
+)
+
+const s = time.Second
+
+func table() *Table {
+	t := New(Settings{Life: 1, Within: 2 * s, Grace: 500 * time.Millisecond, Proxies: 8})
+	t.Joined("p")
+	t.Published(1, nil)
+	t.Sent(0, "p", 1)
+	t.Answered(0, "p", 1, "")
+	t.Tick(0)
+	return t
+}
+
+func state(t *Table) version.ProxyState { return t.Rows()[0].State }
+
+// A proxy that accepts and goes on sending, one that refuses, one that is silent: each
+// is named, and counted on again once it follows.
+func TestWhoDoesNotFollow(t *testing.T) {
+	drained := []Server{{"a", "1:1"}}
+	x := table()
+	x.Published(2, drained)
+	x.Sent(s, "p", 2)
+	x.Answered(s, "p", 2, "")
+	for i := range 6 {
+		now := s + time.Duration(i+1)*500*time.Millisecond
+		x.Loaded(now, "p", 500*time.Millisecond, []Sends{{Server{Addr: "1:1"}, 7}, {Server{ID: "b"}, 7}})
+		c := x.Tick(now)
+		if want := i == 2; want != (len(c) == 1 && c[0].State == version.ProxyIdle && !c[0].Counted && c[0].Turned) {
+			t.Errorf("report %d: %+v", i, c) // the first lies within the grace
+		}
+	}
+	for i := range 2 {
+		x.Loaded(10*s, "p", 500*time.Millisecond, []Sends{{Server{ID: "b"}, 7}})
+		if c := x.Tick(10 * s); (len(c) == 1 && c[0].Counted) != (i == 1) {
+			t.Errorf("clean report %d: %+v", i, c)
+		}
+	}
+	x = table()
+	x.Published(2, drained)
+	x.Sent(s, "p", 2)
+	x.Answered(s, "p", 2, "no such field")
+	if c := x.Tick(s); len(c) != 1 || c[0].State != version.ProxyRefuses {
+		t.Errorf("%+v", c)
+	}
+	x.Sent(2*s, "p", 3)
+	x.Answered(2*s, "p", 3, "")
+	if c := x.Tick(2 * s); len(c) != 1 || c[0].State != version.ProxyCurrent || !c[0].Turned {
+		t.Errorf("%+v", c)
+	}
+	x.Sent(3*s, "p", 4)
+	x.Sent(4*s, "p", 5)
+	x.Tick(4 * s)
+	if x.Tick(5 * s); state(x) != version.ProxyWaits {
+		t.Errorf("%v", state(x))
+	}
+	if c := x.Tick(6 * s); len(c) != 1 || c[0].State != version.ProxyFrozen {
+		t.Errorf("it was sent two versions and answers none: %+v", c)
+	}
+}
+
+// A proxy that sends only to what is up, however its reports and answers fall, is
+// never said not to act.
+func TestWhoFollowsIsNotAccused(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		x, now, number := table(), time.Duration(0), uint64(1)
+		out, accepted := map[Server]bool{}, map[Server]Time{}
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			now += time.Duration(rapid.IntRange(50, 700).Draw(r, "later")) * time.Millisecond
+			switch srv := (Server{ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "server")}); rapid.IntRange(0, 2).Draw(r, "what") {
+			case 0:
+				if out[srv] {
+					delete(out, srv)
+				} else {
+					out[srv] = true
+				}
+				number++
+				var list []Server
+				for s := range out {
+					list = append(list, s)
+				}
+				x.Published(number, list)
+			case 1:
+				x.Sent(now, "p", number)
+				x.Answered(now, "p", number, "")
+				for s := range accepted {
+					if !out[s] {
+						delete(accepted, s)
+					}
+				}
+				for s := range out {
+					if _, known := accepted[s]; !known {
+						accepted[s] = now
+					}
+				}
+			default: // it sends to what it has not accepted as withdrawn; within the grace to all
+				const interval = 500 * time.Millisecond
+				var sends []Sends
+				for _, id := range []string{"a", "b", "c"} {
+					srv := Server{ID: id}
+					if since, known := accepted[srv]; !known || now-interval < since {
+						sends = append(sends, Sends{srv, 3})
+					}
+				}
+				x.Loaded(now, "p", interval, sends)
+			}
+			for _, c := range x.Tick(now) {
+				if c.State == version.ProxyIdle {
+					r.Fatalf("%+v", c)
+				}
+			}
+		}
+	})
+}
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -21,6 +21,7 @@
 	"fleet/version":        "",
 	"fleet/follow":         "",
 	"fleet/audit":          "",
+	"fleet/steered":        "",
 	"handoff":              "",
 	"maintenance":          "",
 	"readings":             "",
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -20,6 +20,8 @@
 	Server *xds.Server
 	certs  *xds.Certificates
 	log    *slog.Logger
+
+	steered *proxies
 }
 
 const (
@@ -41,9 +43,8 @@
 		}
 		s.certs, cfg.TLS = certs, certs
 	}
-	cfg.Joined = func(p steer.ProxyID, zone string) { s.Engine.Post(steer.Joined{Proxy: p, Zone: zone}) }
-	cfg.Left = func(p steer.ProxyID) { s.Engine.Post(steer.Left{Proxy: p}) }
-	cfg.Loaded = func(l steer.Loaded) { s.Engine.Post(l) }
+	s.steered = newSteered(c, func(x steer.Event) { s.Engine.Post(x) }, log)
+	s.steered.connect(&cfg)
 	cfg.Alive = func() bool { return s.Engine.Alive() } // no stream is served before there is an engine
 	s.Server = xds.New(cfg)
 	settings := steer.Settings{ColdFrom: c.ColdFrom, ColdTime: c.ColdTime.Duration, OverloadFactor: c.OverloadFactor,
@@ -54,7 +55,7 @@
 		}
 	}
 	engine, err := NewEngine(Config{Steer: settings, Discovery: c.Discovery, ListFile: c.ListFile, Probe: prober(c.Probe),
-		To: s.Server, Log: log})
+		To: s.steered.watch(s.Server), Log: log})
 	if err != nil {
 		return nil, err
 	}
@@ -119,8 +120,9 @@
 	done := make(chan struct{})
 	go func() { s.Engine.Run(inner); close(done) }()
 	go func() {
-		t := time.NewTicker(countEvery)
+		t, look := time.NewTicker(countEvery), time.NewTicker(lookEvery)
 		defer t.Stop()
+		defer look.Stop()
 		for {
 			select {
 			case <-inner.Done():
@@ -128,6 +130,8 @@
 				return
 			case <-t.C:
 				s.counts()
+			case <-look.C:
+				s.steered.look()
 			}
 		}
 	}()
@@ -145,7 +149,7 @@
 	s.log.Info("counts", "streams", c.Streams.Load(), "opened", c.Opened.Load(), "refused", c.Refused.Load(),
 		"malformed", c.Malformed.Load(), "overdue", c.Overdue.Load(), "waiting", s.Server.Waiting(),
 		"responses", c.Responses.Load(), "heartbeats", c.Beats.Load(), "bytes", c.Bytes.Load(), "nacks", c.Nacks.Load(),
-		"reports", c.Reports.Load(), "bad_reports", c.BadReports.Load(),
+		"not_followed", s.steered.lagging.Load(), "reports", c.Reports.Load(), "bad_reports", c.BadReports.Load(),
 		"states", s.Engine.Published.Load(), "urgent", s.Engine.Urgent.Load(), "left_out", s.Engine.LeftOut.Load())
 }
 
--- a/internal/xds/server.go
+++ b/internal/xds/server.go
@@ -59,6 +59,10 @@
 	Joined func(proxy steer.ProxyID, zone string)
 	Left   func(proxy steer.ProxyID)
 	Loaded func(steer.Loaded)
+	// Sent says that a version has gone to a proxy, Answered that it has taken
+	// it, or why not.
+	Sent     func(proxy steer.ProxyID, number uint64)
+	Answered func(proxy steer.ProxyID, number uint64, why string)
 }
 
 // Counters are what a server has done since its start.
--- a/internal/xds/stream.go
+++ b/internal/xds/stream.go
@@ -147,6 +147,7 @@
 	session *Session
 	snap    *Snapshot
 	nacks   uint64
+	sent    [types]uint64 // number of the state that the response without an answer is of
 }
 
 func (x *stream) wake() {
@@ -280,7 +281,12 @@
 		var r *Response
 		alive := s.cfg.Alive == nil || s.cfg.Alive()
 		if !busy && now >= begun && alive {
-			r = x.session.Next(now)
+			if r = x.session.Next(now); r != nil && !r.Beat {
+				x.sent[r.Type] = x.snap.Number
+				if s.cfg.Sent != nil {
+					s.cfg.Sent(x.proxy, x.snap.Number)
+				}
+			}
 		}
 		overdue, waits := x.session.Overdue(s.cfg.AckWithin)
 		at := x.session.Wake(now)
@@ -334,7 +340,16 @@
 func (s *Server) take(x *stream, r Request) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	a := &x.session.asks[r.Type]
+	waits, nacks := a.out != nil && !a.out.Beat, a.nacks
 	err := x.session.Take(s.now(), r)
+	if waits && a.out == nil && s.cfg.Answered != nil {
+		why := ""
+		if a.nacks > nacks {
+			why = a.nack
+		}
+		s.cfg.Answered(x.proxy, x.sent[r.Type], why)
+	}
 	n, why := uint64(0), ""
 	for t := range types {
 		n += x.session.asks[t].nacks
--- a/steer/api.go
+++ b/steer/api.go
@@ -102,6 +102,12 @@
 		Zone  string
 	}
 	Left struct{ Proxy ProxyID }
+	// Counted says whether what a proxy reports may be learnt from: one that does
+	// not act on what it is told shows nothing of what a server can do.
+	Counted struct {
+		Proxy ProxyID
+		On    bool
+	}
 	// Loaded is a proxy's load report.
 	Loaded struct {
 		Proxy    ProxyID
@@ -126,6 +132,7 @@
 func (Listed) event()  {}
 func (Joined) event()  {}
 func (Left) event()    {}
+func (Counted) event() {}
 func (Loaded) event()  {}
 func (Probed) event()  {}
 func (Stalled) event() {}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -76,6 +76,9 @@
 	rate     float64
 	in1, in2 float64 // arrivals a second
 	said     map[*server]said
+	// uncounted: it does not act on what it is told, so its reports show nothing of
+	// what servers can do.
+	uncounted bool
 }
 
 // said is what a proxy last said of a server; it counts until the next report,
@@ -167,6 +170,8 @@
 	switch e := e.(type) {
 	case Listed:
 		m.listed(e)
+	case Counted:
+		m.counted(e)
 	case Joined:
 		m.joined(e)
 	case Left:
@@ -365,6 +370,20 @@
 	clear(p.said)
 }
 
+// counted takes whether a proxy's reports are learnt from.
+func (m *Module) counted(e Counted) {
+	if p := m.proxies[e.Proxy]; p != nil && p.uncounted == e.On {
+		p.uncounted = !e.On
+		if p.uncounted {
+			m.unlearn(p)
+			for s, x := range p.said {
+				s.flow = math.Max(0, s.flow-x.flow)
+				p.said[s] = said{n: x.n}
+			}
+		}
+	}
+}
+
 // silence takes back what a proxy has reported.
 func (m *Module) silence(p *proxy) {
 	m.unsay(p)
@@ -393,12 +412,18 @@
 		// Guards against one liar: no proxy has more out than a server can hold.
 		n := math.Min(float64(l.InFlight), 1e5)
 		flow := float64(l.OK) / sec // errors are no answers: a full server gives them fast
+		if p.uncounted {
+			flow = 0
+		}
 		x := p.said[s]
 		p.said[s] = said{x.n + n, x.flow + flow}
 		s.n += n
 		s.flow += flow
-		s.answers += float64(l.OK + l.Errors)
 		rate += float64(l.Issued) / sec
+		if p.uncounted { // what it has out weighs on a server all the same
+			continue
+		}
+		s.answers += float64(l.OK + l.Errors)
 		s.judged.ok += float64(l.OK)
 		s.judged.errors += float64(l.Errors)
 		if l.Utilisation >= fullUse {
