Lies, two discoveries and a word that went round: found on sockets, mended

The tests found two faults: after 5 s of two discoveries every node still left two servers out, as held words were passed on as hearsay by nodes whose own source spoke and came back to those that had dropped them (since, in words.go); and hearsay counted as a second teller, so that one liar's words took out more than its part (mayTake).

Change: a process whose own source speaks tells of that alone; hearsay is worth one where nobody else tells it; a word whose tellers all have the own source's list by now is dropped at once; the count of discovery's beginnings goes by most of those with the same list. The lab forges datagrams and lets a second discovery speak to some nodes.

--- a/fleet/follow/agent.go
+++ b/fleet/follow/agent.go
@@ -333,7 +333,7 @@
 
 // message words a datagram as of now.
 func (a *Agent) message(k kind) message {
-	m := message{kind: k, vector: a.vector, age: -1, standing: a.standing, acts: a.acts}
+	m := message{kind: k, vector: a.vector, age: -1, standing: a.standing, acts: a.speaksFor()}
 	m.vector.Clock = a.clock.Now(a.now)
 	if a.confirmed > 0 {
 		m.age = a.now - a.confirmed
@@ -341,6 +341,19 @@
 	return m
 }
 
+// speaksFor is the version up to which this process tells others of withdrawals: its
+// own source's as long as that speaks, else also what it has of others. Guards
+// against a word that goes round after all who knew of it first have taken it back.
+func (a *Agent) speaksFor() version.List {
+	if a.ownFresh() {
+		return a.vector.List
+	}
+	return a.acts
+}
+
+// ownFresh tells whether the own source has spoken of late.
+func (a *Agent) ownFresh() bool { return a.confirmed > 0 && a.now-a.confirmed <= a.set.Narrow }
+
 func (a *Agent) send(to int, m message) {
 	data := m.append(make([]byte, 0, MaxDatagram))
 	switch m.kind {
@@ -510,28 +523,36 @@
 	a.sameEpoch(p)
 }
 
-// sameEpoch takes over the count of discovery's beginnings from processes that
-// have the very same list and have counted more: this one started, or was cut
-// off, meanwhile. One alone is not believed where others are heard.
+// sameEpoch takes the count of discovery's beginnings from most of those that have the
+// very same list: this process started, or was cut off, meanwhile, or saw another
+// discovery for a while and counted its coming back as a beginning. The content being
+// the same, nothing that is acted on changes.
 func (a *Agent) sameEpoch(p *peer) {
-	own, its := a.vector.List, p.vector.List
-	if !a.listed || its.Generation != own.Generation || its.Digest != own.Digest || its.Epoch == own.Epoch || int16(its.Epoch-own.Epoch) < 0 {
+	own := a.vector.List
+	if its := p.vector.List; !a.listed || its.Generation != own.Generation || its.Digest != own.Digest || its.Epoch == own.Epoch {
 		return
 	}
-	same := 0
+	votes, best := map[uint16]int{own.Epoch: 1}, own.Epoch
 	for i := range a.peers {
-		if o := &a.peers[i]; o.heard > 0 && a.now-o.heard <= hearWindow && o.vector.List == its {
-			same++
+		o := &a.peers[i]
+		if l := o.vector.List; o.heard > 0 && a.now-o.heard <= hearWindow && l.Generation == own.Generation && l.Digest == own.Digest {
+			votes[l.Epoch]++
 		}
 	}
-	if same < a.quorum() {
+	for e, n := range votes {
+		if n > votes[best] || n == votes[best] && int16(e-best) > 0 {
+			best = e
+		}
+	}
+	if best == own.Epoch || votes[best] < a.quorum() {
 		return
 	}
-	a.logf("takes over epoch %d of discovery from %d neighbours with the same list", its.Epoch, same)
-	if a.acts.Order(own) != version.Newer {
-		a.acts = its
+	a.logf("takes epoch %d of discovery, after %d, from %d neighbours with the same list", best, own.Epoch, votes[best])
+	a.vector.List.Epoch = best
+	a.log, a.floor = a.log[:0], a.vector.List
+	if a.acts.Epoch == own.Epoch {
+		a.acts = a.vector.List
 	}
-	a.vector.List.Epoch, a.log, a.floor = its.Epoch, a.log[:0], its
 	a.overtaken()
 	a.rec.Acts(a.now, a.vector)
 }
--- a/fleet/follow/words.go
+++ b/fleet/follow/words.go
@@ -27,7 +27,7 @@
 			m := a.message(words)
 			m.since, m.part, m.parts = since, part, max(1, parts)
 			for _, w := range ws[part*mostWords : min(len(ws), (part+1)*mostWords)] {
-				if w.list.Epoch == a.acts.Epoch && w.list.Order(a.acts) != version.Newer {
+				if w.list.Epoch == m.acts.Epoch && w.list.Order(m.acts) != version.Newer {
 					m.words = append(m.words, w)
 				}
 			}
@@ -40,7 +40,7 @@
 // say that they are all there are since a version: so one that is heard by nobody
 // keeps up too.
 func (a *Agent) greet(to int) {
-	if !a.listed || a.floor.Epoch != a.acts.Epoch {
+	if !a.listed || a.floor.Epoch != a.speaksFor().Epoch {
 		a.send(to, a.message(hello))
 		return
 	}
@@ -85,15 +85,16 @@
 		return
 	}
 	p.answeredAt = a.now
-	if since.Order(a.acts) != version.Older {
+	acts := a.speaksFor()
+	if since.Order(acts) != version.Older {
 		a.send(to, a.message(hello)) // nothing is missing; it hears how fresh this is
 		return
 	}
-	if since.Epoch == a.acts.Epoch && since.Order(a.floor) != version.Older {
+	if since.Epoch == acts.Epoch && since.Order(a.floor) != version.Older {
 		a.tellWords([]int{to}, since, a.since(since))
 		return
 	}
-	if a.acts.Order(a.vector.List) == version.Newer {
+	if acts.Order(a.vector.List) == version.Newer {
 		a.send(to, a.message(hello)) // what this process was told of others is not all of a list
 		return
 	}
@@ -123,6 +124,9 @@
 			out = append(out, w)
 		}
 	}
+	if a.ownFresh() {
+		return out
+	}
 	for _, k := range a.heldKeys() {
 		if h := a.held[k]; h.acted && h.list.Order(l) == version.Newer {
 			w := h.word
@@ -263,6 +267,16 @@
 	return from
 }
 
+// backers is how many processes have a word of their own sources; hearsay, whoever
+// passes it on, is worth one where nobody else tells it.
+func (h *held) backers() int {
+	n := len(h.tellers)
+	if n > 1 && slices.Contains(h.tellers, -1) {
+		n--
+	}
+	return n
+}
+
 // mayTake tells whether a word may take its server out, by how much of the list
 // neighbours have taken out already.
 func (a *Agent) mayTake(h *held) bool {
@@ -271,15 +285,15 @@
 		if x, known := a.entries[k]; !o.acted || !known || x.state != version.Up {
 			continue
 		}
-		if all++; len(o.tellers) < 2 {
+		if all++; o.backers() < 2 {
 			one++
 		}
 	}
 	limit := func(part float64) int { return max(1, int(part*float64(a.up))) }
 	switch {
-	case len(h.tellers) == 0:
+	case h.backers() == 0:
 		return false
-	case len(h.tellers) == 1 && one >= limit(a.set.OneTeller):
+	case h.backers() == 1 && one >= limit(a.set.OneTeller):
 		return false
 	}
 	return all < limit(a.set.AllTellers)
@@ -292,32 +306,67 @@
 	changed := false
 	for _, k := range a.heldKeys() {
 		h := a.held[k]
+		if a.takenBack(h) {
+			a.drop(k, h)
+			changed = changed || h.acted
+			for _, t := range h.tellers { // guards against one that tells it over and over
+				if t >= 0 {
+					a.peers[t].doubtUntil = a.now + doubtTime/4
+				}
+			}
+			continue
+		}
 		wait := a.set.Doubt
-		if len(h.tellers) > 1 { // several sources against one: it may be the own one that is late
+		if h.backers() > 1 { // several sources against one: it may be the own one that is late
 			wait *= 4
 		}
 		if a.confirmed < h.at+wait || a.now-a.confirmed > a.set.Narrow {
 			continue
 		}
-		delete(a.held, k)
+		a.drop(k, h)
 		a.counts.Doubted++
-		if a.acts.Order(a.vector.List) == version.Newer {
-			a.acts, a.vouched = a.vector.List, a.confirmed
-		}
 		for _, t := range h.tellers {
-			if t >= 0 && len(h.tellers) == 1 {
+			if t >= 0 && h.backers() == 1 {
 				a.peers[t].doubtUntil = a.now + doubtTime
 			}
 		}
 		if h.acted {
 			changed = true
-			if x, known := a.entries[k]; known {
-				a.rec.Again(a.now, x.name, a.vector.List)
-				a.logf("process %d withdrew %s and the own source does not for %v: it is used again", h.via, x.name, wait)
-			}
+			a.logf("process %d withdrew %s and the own source does not for %v: it is used again", h.via, a.entries[k].name, wait)
 		}
 	}
 	if changed {
 		a.do(Changed{})
 	}
 }
+
+// drop forgets a word that the own source does not bear out: all that is beyond it is
+// heard anew.
+func (a *Agent) drop(k version.Key, h *held) {
+	delete(a.held, k)
+	if a.acts.Order(a.vector.List) == version.Newer {
+		a.acts, a.vouched = a.vector.List, a.confirmed
+	}
+	if x, known := a.entries[k]; known && h.acted {
+		a.rec.Again(a.now, x.name, a.vector.List)
+	}
+}
+
+// takenBack tells whether a word has nobody behind it any more: the own source has
+// spoken since, and whoever told it now has the very list that the own source gives.
+func (a *Agent) takenBack(h *held) bool {
+	if a.confirmed <= h.at || !a.ownFresh() {
+		return false
+	}
+	own := a.vector.List
+	same := func(t int) bool {
+		p := &a.peers[t]
+		return p.heard > h.at && p.vector.List.Generation == own.Generation && p.vector.List.Digest == own.Digest
+	}
+	for _, t := range h.tellers {
+		if t >= 0 && !same(t) {
+			return false
+		}
+	}
+	return same(h.via)
+}
--- a/internal/lab/real/fleet.go
+++ b/internal/lab/real/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -11,6 +12,7 @@
 
 	"barrowscale/fleet/version"
 	"barrowscale/internal/lab/history"
+	"barrowscale/internal/lab/hosts"
 	"barrowscale/internal/lab/link"
 	"barrowscale/internal/lab/process"
 	"barrowscale/internal/lab/scenario"
@@ -87,3 +89,19 @@
 
 // Began is the Unix time at which the lab's clock read 0.
 func (h *Hall) Began() time.Time { return h.unix }
+
+// Forge sends a datagram to a node as if it came from another one.
+func (h *Hall) Forge(from, to int, data []byte) {
+	h.nodes[to].mu.Lock()
+	proc := h.nodes[to].proc
+	h.nodes[to].mu.Unlock()
+	if proc == nil {
+		return
+	}
+	if at, err := net.ResolveUDPAddr("udp", proc.PeerAddr()); err == nil {
+		h.relays[to][from].Conn().WriteTo(data, at)
+	}
+}
+
+// Discovery is the stand-in, for what no scenario says.
+func (h *Hall) Discovery() *hosts.Service { return h.hosts }
