--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -40,14 +40,15 @@
 	mu     sync.Mutex
 	halls  map[string]string // node: hall
 	order  []string
-	places map[string]Place // those it knows to be up
-	lives  map[string]int   // of the processes that have been killed so far
+	places map[string]Place    // those it knows to be up
+	lives  map[string]int      // of the processes that have been killed so far
+	ends   map[Place]time.Time // when, by node and life
 	turn   int
 }
 
 // NewFront makes one for the nodes of a scenario.
 func NewFront(nodes []scenario.Node) *Front {
-	f := &Front{halls: map[string]string{}, places: map[string]Place{}, lives: map[string]int{}}
+	f := &Front{halls: map[string]string{}, places: map[string]Place{}, lives: map[string]int{}, ends: map[Place]time.Time{}}
 	for _, n := range nodes {
 		f.halls[n.Name] = n.Hall
 		f.order = append(f.order, n.Name)
@@ -76,13 +77,22 @@
 func (f *Front) Killed(node string, life int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lives[node] = life
+	f.lives[node], f.ends[Place{Node: node, Life: life}] = life, time.Now()
 }
 
-func (f *Front) wasKilled(p Place) bool {
+// killTime is how long a process may go on that is being killed.
+const killTime = 100 * time.Millisecond
+
+// wasKilled tells whether a process was killed that may have had a request in its
+// hands by then; not one that was sent on an old connection of it long after.
+func (f *Front) wasKilled(p Place, sent time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return p.Life <= f.lives[p.Node]
+	if p.Life > f.lives[p.Node] {
+		return false
+	}
+	end, known := f.ends[Place{Node: p.Node, Life: p.Life}]
+	return !known || !sent.After(end.Add(killTime))
 }
 
 // Deal gives the node for the next connection from a hall; a hall without one
@@ -174,11 +184,12 @@
 			c.mu.Unlock()
 			return history.Unreachable, 0
 		}
+		began := time.Now()
 		last = c.exchange(k, text.String(), id, o, patience)
 		// A connection that the node closed between requests, as it may: the
 		// request goes out once more on a new one. Not if the process was killed
 		// with the request in its hands.
-		if last.status == history.Broken && last.silent && !fresh && !resend && !c.Front.wasKilled(k.place) {
+		if last.status == history.Broken && last.silent && !fresh && !resend && !c.Front.wasKilled(k.place, began) {
 			c.mu.Lock()
 			c.stats.Resent++
 			c.mu.Unlock()
