--- a/fleet/steered/steered.go
+++ b/fleet/steered/steered.go
@@ -119,9 +119,14 @@
 	}
 }
 
-// Sent says that a version went out to a proxy.
-func (t *Table) Sent(now Time, id string, number uint64) {
-	if p := t.proxies[id]; p != nil && number > p.Sent {
+// Sent says that a version went out to a proxy, for a time after which the proxy
+// drops it by itself; 0: it does not.
+func (t *Table) Sent(now Time, id string, number uint64, lease time.Duration) {
+	p := t.proxies[id]
+	if p != nil && lease > 0 {
+		p.LeaseEnds = now + lease
+	}
+	if p != nil && number > p.Sent {
 		if p.Accepted >= p.Sent { // the oldest one without an answer counts
 			p.sentAt = now
 		}
--- a/fleet/version/control.go
+++ b/fleet/version/control.go
@@ -11,8 +11,8 @@
 	Published uint64 `json:"published"` // newest version for this proxy
 	Sent      uint64 `json:"sent"`
 	Accepted  uint64 `json:"accepted"`
-	Refused   uint64 `json:"refused"` // newest that the proxy turned down; 0: none
-	LeaseEnds Time   `json:"lease_ends"`
+	Refused   uint64 `json:"refused"`    // newest that the proxy turned down; 0: none
+	LeaseEnds Time   `json:"lease_ends"` // when what it was sent last runs out by itself; 0: never
 }
 
 // Compare tells how what a proxy has accepted of one service stands to what it
--- a/internal/control/steered.go
+++ b/internal/control/steered.go
@@ -62,8 +62,8 @@
 		p.with(func(now steered.Time) { p.table.Loaded(now, string(l.Proxy), l.Interval, sends) })
 		p.post(l)
 	}
-	cfg.Sent = func(id steer.ProxyID, number uint64) {
-		p.with(func(now steered.Time) { p.table.Sent(now, string(id), number) })
+	cfg.Sent = func(id steer.ProxyID, number uint64, lease time.Duration) {
+		p.with(func(now steered.Time) { p.table.Sent(now, string(id), number, lease) })
 	}
 	cfg.Answered = func(id steer.ProxyID, number uint64, why string) {
 		p.with(func(now steered.Time) { p.table.Answered(now, string(id), number, why) })
--- a/internal/lab/memory/fleet.go
+++ b/internal/lab/memory/fleet.go
@@ -192,7 +192,8 @@
 	w.after(n.fleet.set.Narrow/3, func() {
 		switch {
 		case n.life != life || n.watch != watch || !n.watching:
-		case n.cut:
+		case n.cut: // for discovery the call has ended; the node finds out later
+			n.watching = false
 			w.after(callTimeout, func() { n.broken(life, watch) })
 		default:
 			if w.now >= n.asleep {
--- a/internal/xds/server.go
+++ b/internal/xds/server.go
@@ -59,9 +59,10 @@
 	Joined func(proxy steer.ProxyID, zone string)
 	Left   func(proxy steer.ProxyID)
 	Loaded func(steer.Loaded)
-	// Sent says that a version has gone to a proxy, Answered that it has taken
+	// Sent says that a version has gone to a proxy, for a time after which it runs
+	// out there (0: it does not), Answered that it has taken
 	// it, or why not.
-	Sent     func(proxy steer.ProxyID, number uint64)
+	Sent     func(proxy steer.ProxyID, number uint64, lease time.Duration)
 	Answered func(proxy steer.ProxyID, number uint64, why string)
 }
 
--- a/internal/xds/stream.go
+++ b/internal/xds/stream.go
@@ -284,7 +284,7 @@
 			if r = x.session.Next(now); r != nil && !r.Beat {
 				x.sent[r.Type] = x.snap.Number
 				if s.cfg.Sent != nil {
-					s.cfg.Sent(x.proxy, x.snap.Number)
+					s.cfg.Sent(x.proxy, x.snap.Number, r.lease())
 				}
 			}
 		}
@@ -365,6 +365,15 @@
 	return err
 }
 
+// lease is the longest time after which a resource of a response runs out; 0: none
+// does.
+func (r *Response) lease() (longest time.Duration) {
+	for _, x := range r.Resources {
+		longest = max(longest, x.TTL)
+	}
+	return longest
+}
+
 func (s *Server) count(r *Response) {
 	s.Counters.Responses.Add(1)
 	if r.Beat {
--- a/test.sh
+++ b/test.sh
@@ -11,7 +11,7 @@
 mkdir -p bin
 go build -o bin/ ./cmd/...
 # What has goroutines runs under the race detector, which wants a C compiler.
-concurrent='/(internal/(node|front|console|handover|backend|discovery|xds|control|lab/(alarm|real|xdsdrain|clipserver|hosts|caller|link|socket|history))|cmd/ivylock)$'
+concurrent='/(internal/(node|front|console|handover|backend|discovery|xds|control|ctl|lab/(alarm|real|xdsdrain|clipserver|hosts|caller|link|socket|history))|cmd/ivylock)$'
 if [ "$(go env CGO_ENABLED)" = 1 ] && command -v "$(go env CC)" >/dev/null; then
 	go test $(go list ./... | grep -vE "$concurrent")
 	go test -race $(go list ./... | grep -E "$concurrent")
