--- a/fleet/version/file.go
+++ b/fleet/version/file.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/crc32"
+	"time"
 )
 
 // MaxRecord bounds a record's text, bytes.
@@ -12,6 +14,45 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// serverText is a Server as text: its marks as milliseconds before the last send and
+// counts, as a record has thousands of them.
+type serverText struct {
+	Name  string     `json:"name"`
+	Sends uint64     `json:"sends"`
+	First Stamp      `json:"first"`
+	Last  Stamp      `json:"last"`
+	Marks [][3]int64 `json:"marks,omitempty"`
+}
+
+// MarshalJSON writes a server's marks short; stamps of them lose their counters.
+func (s Server) MarshalJSON() ([]byte, error) {
+	t := serverText{s.Name, s.Sends, s.First, s.Last, nil}
+	for _, m := range s.Marks {
+		t.Marks = append(t.Marks, [3]int64{s.Last.Sub(m.From).Milliseconds(), s.Last.Sub(m.To).Milliseconds(), int64(m.Sends)})
+	}
+	return json.Marshal(t)
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (s *Server) UnmarshalJSON(raw []byte) error {
+	var t serverText
+	if err := json.Unmarshal(raw, &t); err != nil {
+		return err
+	}
+	*s = Server{Name: t.Name, Sends: t.Sends, First: t.First, Last: t.Last}
+	for _, m := range t.Marks[:min(len(t.Marks), mostMarks+1)] {
+		if m[2] < 0 || m[0] < 0 || m[1] < 0 || m[0] > maxSpan || m[1] > maxSpan {
+			return errMarks
+		}
+		s.Marks = append(s.Marks, Mark{t.Last.Add(-time.Duration(m[0]) * time.Millisecond), t.Last.Add(-time.Duration(m[1]) * time.Millisecond), uint64(m[2])})
+	}
+	return nil
+}
+
+const maxSpan = int64(1000 * 365 * 24 * 3600) // ms before a server's last send that a mark may lie: a year
+
+var errMarks = errors.New("record: marks that are not in their bounds")
+
 // AppendLine adds a record to the text of a file: a line with the checksum
 // (CRC-32C, hexadecimal) and the record in JSON, so that a file which breaks off
 // anywhere can be read up to its last whole line.
--- a/fleet/version/version_test.go
+++ b/fleet/version/version_test.go
@@ -107,6 +107,11 @@
 	if want := uint64(versions - MostWithdrawals + 2*(versions-MostChanges)); rec.Dropped != want {
 		t.Errorf("%d dropped, %d counted", want, rec.Dropped)
 	}
+	raw, err := AppendLine(nil, &rec)
+	back, _ := ReadLines(raw)
+	if err != nil || len(back) != 1 || len(back[0].Servers) != len(rec.Servers) || back[0].Servers[7].Marks[0].From.Time() != rec.Servers[7].Marks[0].From.Time() {
+		t.Errorf("what was read is not what was written: %v", err)
+	}
 	next := NewRecorder("n0", 0, now+time.Second, clock)
 	next.Former(rec)
 	if b := next.Take(now + 2*time.Second).Before; len(b) != 1 || b[0].Sends != 3*versions {
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -127,7 +127,7 @@
 func (n *Node) look() {
 	avoided := 0
 	for name := range n.listed {
-		if n.byHand.Out(name) || n.module.Suspected(n.ids[name]) {
+		if n.byHand.Out(name) || n.module.Suspected(n.ids[name]) || n.fleetOut(name, n.servers[n.ids[name]]) {
 			avoided++
 		}
 	}
