--- /dev/null
+++ b/fleet/roster/api.go
@@ -0,0 +1,131 @@
+// Package roster decides who is in a fleet: alive, suspected, gone, or back under a
+// new life. It is SWIM (Das, Gupta and Motivala, 2002) with suspicion and
+// incarnations, and with Lifeguard's awareness of one's own slowness (Dadgar,
+// Phillips and Currey, 2018), in datagrams of 256 bytes, without a connection, at a
+// number of datagrams a second that does not grow with the fleet. It does no I/O,
+// reads no clock and starts no goroutine. docs/members.md has the protocol on a page.
+package roster
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Time is a reading of the caller's monotonic clock.
+type Time = time.Duration
+
+// ID names a process, and its successor after a restart.
+type ID uint32
+
+// Life tells apart the processes that have a name in turn: the later one has the
+// higher number, such as its start in Unix seconds.
+type Life uint32
+
+// Status is what a process is taken for.
+type Status uint8
+
+const (
+	// Alive: it has answered, or others say so.
+	Alive Status = iota
+	// Suspect: it did not answer, and has not been heard to refute it.
+	Suspect
+	// Gone: it has not refuted a suspicion in time.
+	Gone
+	// Left: it said that it ends.
+	Left
+	statuses
+)
+
+func (s Status) String() string { return [...]string{"alive", "suspect", "gone", "left"}[min(s, Left)] }
+
+// Settings of a roster, the same at all processes.
+type Settings struct {
+	Period    time.Duration  // one probe in each
+	Timeout   time.Duration  // of a probe, before others are asked to probe too
+	Helpers   int            // that are asked
+	Least     float64        // least time of a suspicion, in periods times log10 of the fleet
+	Most      float64        // multiple of that, where one own probe failed; twice that, where none was made
+	Awareness int            // most that own slowness counts
+	Spread    float64        // times log10 of the fleet that an update is told
+	Forget    time.Duration  // after which one that is gone is forgotten
+	Strangers []netip.Prefix // addresses beside the seeds' that are heard; none: members' alone
+	Members   int            // most that are kept
+}
+
+// Defaults are the settings of docs/members.md.
+func Defaults() Settings {
+	return Settings{Period: time.Second, Timeout: 300 * time.Millisecond, Helpers: 3, Least: 4, Most: 4, Awareness: 8,
+		Spread: 4, Forget: 10 * time.Minute, Members: 4096}
+}
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// Events.
+type (
+	// Heard is a datagram of package roster's.
+	Heard struct {
+		From netip.AddrPort
+		Data []byte
+	}
+	// Told says that a member has said anything at all: no probe is needed to know
+	// that it lives.
+	Told struct{ ID ID }
+	// Ticked comes every tenth of a period, or more often.
+	Ticked struct{}
+	// Woke says that this process stood still.
+	Woke struct{ Gap time.Duration }
+	// Ends says that this process is about to end in order.
+	Ends struct{}
+)
+
+func (Heard) event()  {}
+func (Told) event()   {}
+func (Ticked) event() {}
+func (Woke) event()   {}
+func (Ends) event()   {}
+
+// Action is something the caller is to do.
+type Action interface{ action() }
+
+// Actions.
+type (
+	// Tell sends a datagram.
+	Tell struct {
+		To   netip.AddrPort
+		Data []byte
+	}
+	// Changed says that a member is taken for something else now.
+	Changed struct {
+		ID     ID
+		Status Status
+		Life   Life
+	}
+)
+
+func (Tell) action()    {}
+func (Changed) action() {}
+
+// Member is one process as this one sees it.
+type Member struct {
+	ID          ID
+	Addr        netip.AddrPort
+	Status      Status
+	Life        Life
+	Incarnation uint16
+	Heard       Time // last word of its own; 0: never
+	Since       Time // of its status
+}
+
+// Counts are a roster's figures since its start.
+type Counts struct {
+	Probes, Covered uint64 // probes sent; turns in which none was needed, as the member had been heard
+	Datagrams       uint64
+	Bytes           uint64
+	Suspicions      uint64 // of its own
+	Refuted         uint64 // suspicions of this process that it refuted
+	Strangers       uint64 // datagrams from addresses that are not heard
+	Malformed       uint64
+	Old             uint64 // of a former life
+	Full            uint64 // members that there was no room for
+}
--- /dev/null
+++ b/fleet/roster/roster.go
@@ -0,0 +1,605 @@
+package roster
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	pagesEvery     = 24.0            // members that are told in a period, about
+	suspectsAtOnce = 4               // that are probed in a period beside the round's
+	enough         = 3               // own probes that must have failed for a suspicion to end soon
+	suspectsFirst  = 60.0            // processes that look at a suspect in a period, about
+	pagesAtOnce    = 2               // datagrams of a view, a tick
+	mostRelays     = 256             // probes on behalf of others that are out at once
+	settle         = 5 * time.Second // after which one that is gone is not counted as of the fleet, where most are there
+)
+
+type member struct {
+	Member
+	told      int // times that its present status has been told
+	suspectAt Time
+	fails     int  // own probes of it that failed, since it was heard
+	direct    Time // when this process heard it itself
+	counted   bool // one of the last agreed fleet
+}
+
+// probe is one that is out.
+type probe struct {
+	of    ID
+	seq   uint32
+	sent  Time
+	asked bool // helpers have been asked
+	round bool // it is the one of the round
+	nacks int  // of helpers
+}
+
+// relay is a probe on behalf of another.
+type relay struct {
+	seq  uint32 // the other's
+	to   netip.AddrPort
+	sent Time
+	of   ID
+	done bool
+}
+
+// Roster is one process's view of the fleet. It is not safe for concurrent use.
+type Roster struct {
+	set     Settings
+	self    Member
+	rng     *rand.Rand
+	now     Time
+	out     []Action
+	members map[ID]*member
+	byAddr  map[netip.AddrPort]ID
+	seeds   []netip.AddrPort
+	turn    []ID              // whom to probe next
+	probes  map[uint32]*probe // that are out: one of the round, and those of suspects
+	relays  map[uint32]*relay
+	seq     uint32
+	next    Time // beginning of the next period
+	aware   int
+	ended   bool
+	counts  Counts
+
+	pages     []ID // that are still to be told to pagesTo
+	pagesTo   netip.AddrPort
+	nextPages Time
+}
+
+// New makes the roster of a process that has started with a life. Seeds are the
+// addresses of some others, two at least; who has one of them is heard before it is a
+// member.
+func New(set Settings, self Member, seeds []netip.AddrPort, now Time, seed int64) *Roster {
+	r := &Roster{set: set, self: self, rng: rand.New(rand.NewPCG(uint64(seed), 0x726f73)), now: now, members: map[ID]*member{},
+		byAddr: map[netip.AddrPort]ID{}, relays: map[uint32]*relay{}, probes: map[uint32]*probe{}, seeds: slices.Clone(seeds)}
+	r.self.Status = Alive
+	r.next = now + Time(r.rng.Float64()*float64(set.Period))
+	return r
+}
+
+// Counts gives the figures.
+func (r *Roster) Counts() Counts { return r.counts }
+
+// Handle takes an event and returns what is to be done, in order. The slice is
+// reused by the next call.
+func (r *Roster) Handle(now Time, e Event) []Action {
+	r.now, r.out = max(now, r.now), r.out[:0]
+	switch e := e.(type) {
+	case Heard:
+		r.hear(e)
+	case Told:
+		if m := r.members[e.ID]; m != nil && m.Status != Gone && m.Status != Left {
+			r.lives(m)
+		}
+	case Ticked:
+		r.tick()
+	case Woke:
+		r.woke(e)
+	case Ends:
+		r.ended = true
+		r.self.Status, r.self.Incarnation = Left, r.self.Incarnation+1
+		for _, m := range r.some(2*r.set.Helpers, func(m *member) bool { return m.Status == Alive }) {
+			r.send(m.Addr, message{kind: ping, target: m.ID})
+		}
+	}
+	return r.out
+}
+
+// Members lists all that are known, this one among them, by name.
+func (r *Roster) Members() []Member {
+	out := []Member{r.self}
+	out[0].Heard = r.now
+	for _, m := range r.members {
+		out = append(out, m.Member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Alive is how many are taken for alive or suspected, this one among them: a
+// suspicion may be wrong.
+func (r *Roster) Alive() int {
+	n := 1
+	for _, m := range r.members {
+		if m.Status == Alive || m.Status == Suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// Majority tells whether most of the last agreed fleet are heard by this process or
+// by those it hears: suspects do not count.
+func (r *Roster) Majority() bool {
+	all, here := 1, 1
+	for _, m := range r.members {
+		if m.counted {
+			all++
+			if m.Status == Alive {
+				here++
+			}
+		}
+	}
+	return 2*here > all
+}
+
+// Digest is the same at processes with the same view of who lives.
+func (r *Roster) Digest() uint32 {
+	d := uint32(r.self.ID)*2654435761 + uint32(r.self.Life)*40503
+	for _, m := range r.members {
+		if m.Status == Alive || m.Status == Suspect {
+			d += uint32(m.ID)*2654435761 + uint32(m.Life)*40503
+		}
+	}
+	return d
+}
+
+// send tells a process something, with as many updates as there is room for: those
+// that have been told least often first.
+func (r *Roster) send(to netip.AddrPort, m message) {
+	m.id, m.life, m.incarnation, m.digest = r.self.ID, r.self.Life, r.self.Incarnation, r.Digest()
+	if r.ended {
+		m.updates = append(m.updates, said{Left, r.self.ID, r.self.Life, r.self.Incarnation, r.self.Addr})
+	}
+	limit := int(math.Ceil(r.set.Spread * math.Log10(float64(len(r.members)+2))))
+	var news []*member
+	for _, x := range r.members {
+		if x.told < limit && x.Addr != to {
+			news = append(news, x)
+		}
+	}
+	slices.SortFunc(news, func(a, b *member) int { return cmp.Or(cmp.Compare(a.told, b.told), cmp.Compare(a.ID, b.ID)) })
+	if x := r.members[r.byAddr[to]]; x != nil && x.Status != Alive { // it must hear of a suspicion at once, to refute it
+		m.updates = append(m.updates, x.said())
+	}
+	for _, x := range news[:max(0, min(len(news), Updates-len(m.updates)))] {
+		x.told++
+		m.updates = append(m.updates, x.said())
+	}
+	data := m.append(make([]byte, 0, MaxDatagram))
+	r.counts.Datagrams++
+	r.counts.Bytes += uint64(len(data))
+	r.out = append(r.out, Tell{to, data})
+}
+
+func (m *member) said() said { return said{m.Status, m.ID, m.Life, m.Incarnation, m.Addr} }
+
+// hears tells whether datagrams of an address are taken.
+func (r *Roster) hears(from netip.AddrPort) bool {
+	if _, known := r.byAddr[from]; known || slices.Contains(r.seeds, from) {
+		return true
+	}
+	return slices.ContainsFunc(r.set.Strangers, func(p netip.Prefix) bool { return p.Contains(from.Addr()) })
+}
+
+func (r *Roster) hear(e Heard) {
+	m, err := parse(e.Data)
+	if err != nil {
+		r.counts.Malformed++
+		return
+	}
+	if !r.hears(e.From) {
+		r.counts.Strangers++
+		return
+	}
+	if m.id == r.self.ID || r.ended {
+		return
+	}
+	from := r.members[m.id]
+	switch {
+	case from != nil && m.life < from.Life:
+		r.counts.Old++
+		return
+	case from != nil && from.Addr != e.From && m.life == from.Life:
+		r.counts.Strangers++ // somebody else's name
+		return
+	}
+	if from = r.take(said{Alive, m.id, m.life, m.incarnation, e.From}, m.id, true); from == nil {
+		return
+	}
+	for _, u := range m.updates {
+		if u.id == r.self.ID {
+			r.refute(u)
+		} else {
+			r.take(u, m.id, false)
+		}
+	}
+	if from.Status == Left {
+		return
+	}
+	r.lives(from)
+	r.compare(from, m.digest)
+	switch m.kind {
+	case ping:
+		r.send(e.From, message{kind: ack, seq: m.seq})
+	case ack:
+		r.acked(m.seq, m.id)
+	case pingFor:
+		if len(r.relays) < mostRelays && m.target != r.self.ID {
+			r.seq++
+			r.relays[r.seq] = &relay{seq: m.seq, to: e.From, sent: r.now, of: m.target}
+			r.send(m.at, message{kind: ping, seq: r.seq, target: m.target})
+		}
+	case nack:
+		if p := r.probes[m.seq]; p != nil {
+			p.nacks++
+		}
+	}
+}
+
+// compare tells another process all members if its view differs: at most every other
+// period, more rarely in a large fleet, so that the bytes a second do not grow with it,
+// and in turns of a few datagrams.
+func (r *Roster) compare(m *member, digest uint32) {
+	if digest == r.Digest() || r.now < r.nextPages || len(r.pages) > 0 {
+		return
+	}
+	r.nextPages, r.pagesTo = r.now+Time(max(2, float64(len(r.members))/pagesEvery)*float64(r.set.Period)), m.Addr
+	for _, id := range r.ids() {
+		if id != m.ID {
+			r.pages = append(r.pages, id)
+		}
+	}
+	r.turnPage()
+}
+
+// turnPage sends the next datagrams of a view.
+func (r *Roster) turnPage() {
+	for range pagesAtOnce {
+		if len(r.pages) == 0 {
+			return
+		}
+		n := min(len(r.pages), Updates-1) // one is left for what the receiver must know of itself
+		m := message{kind: page}
+		for _, id := range r.pages[:n] {
+			if x := r.members[id]; x != nil {
+				m.updates = append(m.updates, x.said())
+			}
+		}
+		r.pages = r.pages[n:]
+		r.send(r.pagesTo, m)
+	}
+}
+
+// lives takes that a member was heard by this process itself: a suspicion is over here.
+func (r *Roster) lives(m *member) {
+	m.Heard, m.direct, m.fails = r.now, r.now, 0
+	if m.Status == Suspect {
+		r.become(m, Alive)
+	}
+}
+
+func (r *Roster) acked(seq uint32, by ID) {
+	if p := r.probes[seq]; p != nil {
+		delete(r.probes, seq)
+		if p.round {
+			r.aware = max(0, r.aware-1)
+		}
+		if by != p.of { // through a helper
+			if m := r.members[p.of]; m != nil {
+				r.lives(m)
+			}
+		}
+		return
+	}
+	if x := r.relays[seq]; x != nil && x.of == by {
+		delete(r.relays, seq)
+		r.send(x.to, message{kind: ack, seq: x.seq})
+	}
+}
+
+// take takes what is said of a member: what is of a later life, or of a later
+// incarnation, or worse news of the same one. direct is whether it says so itself.
+func (r *Roster) take(u said, by ID, direct bool) *member {
+	m := r.members[u.id]
+	if m == nil {
+		if !direct && (u.status == Gone || u.status == Left) {
+			return nil
+		}
+		if len(r.members) >= r.set.Members {
+			r.counts.Full++
+			return nil
+		}
+		m = &member{Member: Member{ID: u.id, Addr: u.addr, Life: u.life, Incarnation: u.incarnation, Since: r.now}, counted: true}
+		r.members[u.id], r.byAddr[u.addr] = m, u.id
+		r.turn = append(r.turn, u.id)
+		r.become(m, Alive)
+		if u.status != Suspect {
+			return m
+		}
+	}
+	switch {
+	case u.life < m.Life, u.life == m.Life && int16(u.incarnation-m.Incarnation) < 0:
+		return m
+	case u.life > m.Life:
+		if u.status != Alive && !direct || !direct && m.direct > 0 && r.now-m.direct < r.set.Period {
+			return m // a new life tells of itself; nobody takes the name of one that is heard now
+		}
+		delete(r.byAddr, m.Addr)
+		m.Life, m.Incarnation, m.Addr, m.fails, m.counted = u.life, u.incarnation, u.addr, 0, true
+		r.byAddr[u.addr] = u.id
+		r.become(m, Alive)
+	case u.status == Alive:
+		if newer := int16(u.incarnation-m.Incarnation) > 0; newer && m.Status != Left {
+			m.Incarnation, m.fails = u.incarnation, 0
+			if m.Status != Alive {
+				r.become(m, Alive)
+			} else {
+				m.told = 0
+			}
+		}
+	case u.status == Left && m.Status != Left:
+		m.Incarnation = u.incarnation
+		if direct || by == u.id || m.direct == 0 || r.now-m.direct > r.set.Period {
+			m.counted = false
+			r.become(m, Left)
+		}
+	case m.Status == Alive: // suspected or gone, says another: nobody is buried by that alone
+		if m.direct > 0 && r.now-m.direct < r.set.Period {
+			return m // it has just been heard here
+		}
+		m.Incarnation = u.incarnation
+		r.become(m, Suspect)
+	}
+	return m
+}
+
+// become changes a member's status, which is news.
+func (r *Roster) become(m *member, to Status) {
+	m.told, m.Status, m.Since = 0, to, r.now
+	if to == Suspect {
+		m.suspectAt = r.now
+	}
+	r.out = append(r.out, Changed{m.ID, to, m.Life})
+}
+
+// refute answers a suspicion of this process itself.
+func (r *Roster) refute(u said) {
+	if u.status == Alive || u.life != r.self.Life || int16(u.incarnation-r.self.Incarnation) < 0 {
+		return
+	}
+	r.self.Incarnation = u.incarnation + 1
+	r.counts.Refuted++
+	r.aware = min(r.set.Awareness, r.aware+1) // it was too slow to answer
+	for _, m := range r.some(r.set.Helpers, func(m *member) bool { return m.Status == Alive }) {
+		r.send(m.Addr, message{kind: ping, target: m.ID})
+	}
+}
+
+// slow is what own slowness stretches times by.
+func (r *Roster) slow(d time.Duration) time.Duration { return d * time.Duration(1+r.aware) }
+
+func (r *Roster) tick() {
+	if r.ended {
+		return
+	}
+	for _, seq := range r.outstanding() {
+		if p := r.probes[seq]; !p.asked && r.now-p.sent >= r.slow(r.set.Timeout) {
+			p.asked = true
+			if m := r.members[p.of]; m != nil {
+				for _, h := range r.some(r.set.Helpers, func(x *member) bool { return x.Status == Alive && x.ID != p.of }) {
+					r.send(h.Addr, message{kind: pingFor, seq: p.seq, target: p.of, at: m.Addr})
+				}
+			}
+		}
+	}
+	r.turnPage()
+	for seq, x := range r.relays {
+		switch age := r.now - x.sent; {
+		case age > 4*r.set.Period:
+			delete(r.relays, seq)
+		case age > r.set.Timeout && !x.done:
+			x.done = true
+			r.send(x.to, message{kind: nack, seq: x.seq})
+		}
+	}
+	if r.now >= r.next {
+		r.period()
+	}
+	r.decide()
+}
+
+// outstanding lists the probes that are out, in a fixed order.
+func (r *Roster) outstanding() []uint32 {
+	out := make([]uint32, 0, len(r.probes))
+	for seq := range r.probes {
+		out = append(out, seq)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// period ends the probes that have not been answered, and begins the next.
+func (r *Roster) period() {
+	for _, seq := range r.outstanding() {
+		p := r.probes[seq]
+		if r.now-p.sent < r.slow(r.set.Period) { // slow itself: it gives more time
+			continue
+		}
+		delete(r.probes, seq)
+		if p.round { // helpers that answered say that it is not this process
+			r.aware = min(r.set.Awareness, r.aware+1-min(1, p.nacks))
+		}
+		if m := r.members[p.of]; m != nil && m.direct <= p.sent && (m.Status == Alive || m.Status == Suspect) {
+			if m.fails++; m.Status == Alive {
+				r.counts.Suspicions++
+				r.become(m, Suspect)
+			}
+		}
+	}
+	r.next = r.now + r.set.Period
+	if len(r.members) < len(r.seeds) || r.Alive() == 1 { // it is alone, or has not met all whom it was told of
+		for _, s := range r.seeds {
+			if _, known := r.byAddr[s]; !known && s != r.self.Addr {
+				r.send(s, message{kind: ping})
+			}
+		}
+	}
+	for _, m := range r.some(suspectsAtOnce, func(m *member) bool { return m.Status == Suspect && !r.asked(m.ID) }) {
+		if r.rng.Float64() < suspectsFirst/float64(len(r.members)) { // each is to see for itself; not all at once
+			r.look(m, false)
+		}
+	}
+	if r.rounds() {
+		return
+	}
+	for range len(r.turn) + 1 {
+		if len(r.turn) == 0 {
+			r.round()
+			if len(r.turn) == 0 {
+				return
+			}
+		}
+		m := r.members[r.turn[0]]
+		r.turn = r.turn[1:]
+		if m == nil || m.Status == Left || m.Status == Gone && r.rng.Float64() > 0.1 { // one that is gone is tried now and then: a split may have healed
+			continue
+		}
+		if m.direct > 0 && r.now-m.direct < r.set.Period && m.Status == Alive && len(r.news()) == 0 {
+			r.counts.Covered++
+			return
+		}
+		r.look(m, true)
+		return
+	}
+}
+
+// look probes a member.
+func (r *Roster) look(m *member, round bool) {
+	r.seq++
+	r.probes[r.seq] = &probe{of: m.ID, seq: r.seq, sent: r.now, round: round}
+	r.counts.Probes++
+	r.send(m.Addr, message{kind: ping, seq: r.seq, target: m.ID})
+}
+
+// asked tells whether a member is being probed; rounds whether the round's probe is
+// still out.
+func (r *Roster) asked(id ID) bool {
+	for _, p := range r.probes {
+		if p.of == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Roster) rounds() bool {
+	for _, p := range r.probes {
+		if p.round {
+			return true
+		}
+	}
+	return false
+}
+
+// news lists members of whom there is something left to tell.
+func (r *Roster) news() []ID {
+	limit := int(math.Ceil(r.set.Spread * math.Log10(float64(len(r.members)+2))))
+	var out []ID
+	for id, m := range r.members {
+		if m.told < limit {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// round puts all members in a new random order: each is probed once a round.
+func (r *Roster) round() {
+	for id := range r.members {
+		r.turn = append(r.turn, id)
+	}
+	slices.Sort(r.turn)
+	r.rng.Shuffle(len(r.turn), func(i, j int) { r.turn[i], r.turn[j] = r.turn[j], r.turn[i] })
+}
+
+// over tells whether a suspicion has lasted long enough: the less time, the more this
+// process has seen of it itself.
+func (r *Roster) over(m *member) bool {
+	least := r.set.Least * math.Max(1, math.Log10(float64(len(r.members)+1))) * float64(r.set.Period)
+	age := float64(r.now-max(m.suspectAt, m.direct)) / float64(1+r.aware/2)
+	switch {
+	case m.fails >= enough:
+		return age >= least
+	case m.fails > 0:
+		return age >= least*r.set.Most
+	}
+	return age >= 2*least*r.set.Most
+}
+
+// decide ends suspicions that were not refuted, and forgets who is gone for long.
+func (r *Roster) decide() {
+	for _, id := range r.ids() {
+		m := r.members[id]
+		switch {
+		case m.Status == Suspect && r.over(m):
+			r.become(m, Gone)
+		case m.Status == Gone && m.counted && r.now-m.Since > settle && r.Majority():
+			m.counted = false
+		case (m.Status == Gone || m.Status == Left) && !m.counted && r.now-m.Since > r.set.Forget:
+			delete(r.members, id)
+			delete(r.byAddr, m.Addr)
+		}
+	}
+}
+
+func (r *Roster) ids() []ID {
+	out := make([]ID, 0, len(r.members))
+	for id := range r.members {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// some draws members that fit.
+func (r *Roster) some(n int, fits func(*member) bool) []*member {
+	var all []*member
+	for _, id := range r.ids() {
+		if m := r.members[id]; fits(m) {
+			all = append(all, m)
+		}
+	}
+	r.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
+// woke takes that this process stood still: the silence that it sees is its own.
+func (r *Roster) woke(e Woke) {
+	r.aware = min(r.set.Awareness, r.aware+2)
+	clear(r.probes)
+	for _, m := range r.members {
+		if m.Status == Suspect {
+			m.suspectAt = r.now
+		}
+		if m.direct > 0 {
+			m.direct += e.Gap
+		}
+	}
+	r.next = r.now
+}
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -22,6 +22,7 @@
 	"fleet/follow":         "",
 	"fleet/audit":          "",
 	"fleet/steered":        "",
+	"fleet/roster":         "",
 	"handoff":              "",
 	"maintenance":          "",
 	"readings":             "",
@@ -49,7 +50,7 @@
 	for _, i := range f.Imports {
 		path, _ := strconv.Unquote(i.Path.Value)
 		for _, w := range worldly {
-			if path == w || strings.HasPrefix(path, w+"/") && path != "math/rand/v2" {
+			if path == w || strings.HasPrefix(path, w+"/") && path != "math/rand/v2" && path != "net/netip" { // that one is values alone
 				out = append(out, "imports "+path)
 			}
 		}
