Nodes find out who is alive: the roster on the datagrams' socket, off by default

Of nine nodes three that were left shut themselves out when discovery fell silent, as the six dead ones counted as not heard.

Measured on sockets: six of nine killed for 25 s, discovery down for 8 s of them: the three hold the last good list and go on, without the key they close; 7 s after the six are back all nine know all nine, under their new lives.

--- a/fleet/follow/agent.go
+++ b/fleet/follow/agent.go
@@ -412,32 +412,25 @@
 	return nil
 }
 
-// some draws processes other than this one.
-func (a *Agent) some(n int) []int {
+// others lists the processes beside this one that are not known to be gone.
+func (a *Agent) others() []int {
 	size, self := a.fleet.Size(), a.fleet.Self()
-	if size <= 1 {
-		return nil
-	}
-	if n >= size-1 {
-		out := make([]int, 0, size-1)
-		for i := range size {
-			if i != self {
-				out = append(out, i)
-			}
-		}
-		return out
-	}
-	seen := map[int]bool{self: true}
-	out := make([]int, 0, n)
-	for len(out) < n {
-		if i := a.rng.IntN(size); !seen[i] {
-			seen[i] = true
+	out := make([]int, 0, max(0, size-1))
+	for i := range size {
+		if i != self && a.fleet.Lives(i) {
 			out = append(out, i)
 		}
 	}
 	return out
 }
 
+// some draws processes other than this one.
+func (a *Agent) some(n int) []int {
+	all := a.others()
+	a.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
 // tick is the round of checks.
 func (a *Agent) tick() {
 	a.grow()
--- a/fleet/follow/api.go
+++ b/fleet/follow/api.go
@@ -22,6 +22,8 @@
 	Size() int
 	// Self is this process's number.
 	Self() int
+	// Lives tells whether another one is not known to be gone.
+	Lives(number int) bool
 }
 
 // Fixed is a fleet as the configuration names it.
@@ -30,6 +32,9 @@
 func (f Fixed) Size() int { return f.Nodes }
 func (f Fixed) Self() int { return f.Number }
 
+// Lives: a configuration knows of no death.
+func (f Fixed) Lives(int) bool { return true }
+
 // Settings are the figures of a fleet, the same at all its processes.
 type Settings struct {
 	Watch      bool          // tell and record alone: no neighbour's word is acted on, and nothing is narrowed
--- a/fleet/follow/standing.go
+++ b/fleet/follow/standing.go
@@ -37,7 +37,7 @@
 // sourceSilent tells whether so much of the fleet has no word of its source that it
 // is the source that is behind, and not this process.
 func (a *Agent) sourceSilent(age time.Duration) bool {
-	others := a.fleet.Size() - 1
+	others := len(a.others()) // those that are gone say nothing
 	window := min(forgetTime, age-a.set.Narrow/2)
 	if window <= 0 {
 		return false
--- a/fleet/roster/api.go
+++ b/fleet/roster/api.go
@@ -129,3 +129,28 @@
 	Old             uint64 // of a former life
 	Full            uint64 // members that there was no room for
 }
+
+// Numbered is the address that stands for a process where the configuration numbers
+// all of them: each process reaches the others at addresses of its own. It is no
+// address of the network.
+func Numbered(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{0, 0, byte(number >> 8), byte(number)}), 1)
+}
+
+// Number is the number that such an address stands for; false: it is none.
+func Number(a netip.AddrPort) (int, bool) {
+	if !a.Addr().Is4() || a.Port() != 1 {
+		return 0, false
+	}
+	ip := a.Addr().As4()
+	return int(ip[2])<<8 | int(ip[3]), ip[0] == 0 && ip[1] == 0
+}
+
+// Ours tells whether a datagram is one of this package's.
+func Ours(data []byte) bool { return len(data) > 0 && data[0] == form }
+
+// Gone tells whether a process is taken for gone, or has left.
+func (r *Roster) Gone(id ID) bool {
+	m := r.members[id]
+	return m != nil && (m.Status == Gone || m.Status == Left)
+}
--- a/fleet/version/record.go
+++ b/fleet/version/record.go
@@ -174,6 +174,16 @@
 	Confirmed    Stamp         `json:"confirmed"`     // when its own source spoke last
 	Reached      List          `json:"reached"`       // up to which all withdrawals are in force, by whoever told them
 	Before       []Life        `json:"before"`        // former processes of this node, oldest first
+	Members      []Member      `json:"members"`       // who it takes to be in the fleet; none where it does not find out
+	Majority     bool          `json:"majority"`      // most of the last agreed fleet are among them
+}
+
+// Member is a process of the fleet as another one takes it.
+type Member struct {
+	Process int           `json:"process"`
+	Status  string        `json:"status"`
+	Life    uint32        `json:"life"`
+	Heard   time.Duration `json:"heard"` // ago; negative: never
 }
 
 // Life sums up a former process of the same node.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -78,6 +79,7 @@
 	}
 	fleet.AddCommand(versions, why,
 		a.command("audit", "sends that happened although the sender, or another process, knew better", a.breaks),
+		a.command("members", "whom each process takes to be in the fleet", a.members),
 		a.command("changes", "how long each version took to reach the fleet", a.changes))
 	root.AddCommand(fleet)
 	return root
@@ -194,6 +196,26 @@
 	})
 }
 
+// members shows, for each process on record, how it sees the others: those that it
+// takes for anything but alive by name.
+func (a *app) members(x *audit.Audit) error {
+	all := x.Views()
+	err := a.table(all, "process\talive\tof\tmajority\tnot alive", func(w io.Writer) {
+		for _, v := range all {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%v\t%s\n", v.Process, v.Alive, v.Known, v.Majority, orDash(strings.Join(v.Others, ", ")))
+		}
+		if len(all) == 0 {
+			fmt.Fprintln(w, "no process on record finds out who is alive; members = true in [fleet] has them do so")
+		}
+	})
+	for _, v := range all {
+		if err == nil && (len(v.Others) > 0 || !v.Majority) {
+			return errFound
+		}
+	}
+	return err
+}
+
 // story is all that is known of one process.
 type story struct {
 	audit.Process
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -55,6 +55,7 @@
 	for i := range 3 {
 		out = append(out, recs[i].Take(began+10*time.Second))
 	}
+	out[0].Members, out[0].Majority = []version.Member{{Process: 0, Status: "alive"}, {Process: 1, Status: "alive"}, {Process: 2, Status: "suspect"}}, true
 	return out
 }
 
@@ -86,6 +87,7 @@
 		{append([]string{"fleet", "audit", "--json"}, from...), Found, []string{`"server": "s-1"`, `"path"`}, ""},
 		{append([]string{"fleet", "changes"}, from...), Fine, []string{"0.41", "never"}, ""},
 		{append([]string{"fleet", "why", "n2"}, from...), Fine, []string{"behind (certain)", "n0 knew at", "sent 1 or more to s-1 too late, the last 3s"}, ""},
+		{append([]string{"fleet", "members"}, from...), Found, []string{"n0", "n2 suspect", "true"}, ""},
 		{append([]string{"fleet", "why", "n9"}, from...), Misuse, nil, "no process \"n9\""},
 		{[]string{"fleet", "audit", "--file", filepath.Join(dir, "none")}, Nothing, nil, "no record was to be had"},
 		{[]string{"fleet", "audit", "--frist", "x"}, Misuse, nil, "unknown flag"},
--- a/internal/lab/real/fleet_test.go
+++ b/internal/lab/real/fleet_test.go
@@ -280,6 +280,47 @@
 	t.Logf("service %.3f, %d of %d tries refused", v.Service.Measure, v.Service.Refused, v.Service.Tries)
 }
 
+// Six of nine nodes are killed, and long after that discovery is down for 9 s: the three
+// that are left know that they are all there is, hold on to the last good list and go
+// on; without knowing they shut themselves out. When the six are back all know them
+// under their new lives.
+func TestThreeThatAreLeftGoOn(t *testing.T) {
+	for name, x := range map[string]struct{ more, want string }{"members": {"members = true", "held"}, "configuration": {"", "closed"}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := parse(t, "name = \"left\"\nlength = \"34s\"\nfleet = true\n[must]\nfaults_happen = true\n[load]\nrate = 40.0\n"+nine+
+				"[[fault]]\nat = \"2s\"\nfor = \"25s\"\nwhat = \"kill\"\nwho = [\"n0\", \"n1\", \"n2\", \"n3\", \"n4\", \"n5\"]\n"+
+				"[[fault]]\nat = \"17s\"\nfor = \"8s\"\nwhat = \"discovery-outage\"\n")
+			h, records := day(t, s, Options{Fleet: x.more})
+			v := judge.Judge(h)
+			for _, line := range holds.Check(s, h, &v) {
+				t.Error(line)
+			}
+			for _, r := range records {
+				to := ""
+				for _, c := range r.Changes {
+					to += c.To + " "
+				}
+				if left := r.Number >= 6; left && !strings.Contains(to, x.want) || strings.Contains(to, "closed") && x.want != "closed" {
+					t.Errorf("%s went %s", r.Process, to)
+				}
+			}
+			views := audit.New(records, audit.Defaults()).Views()
+			if x.more == "" {
+				return
+			}
+			if len(views) != 9 {
+				t.Fatalf("%d processes tell whom they know", len(views))
+			}
+			for _, v := range views {
+				if v.Alive != 9 || !v.Majority {
+					t.Errorf("%s knows %d of %d alive, majority %v: %v", v.Process, v.Alive, v.Known, v.Majority, v.Others)
+				}
+			}
+		})
+	}
+}
+
 // Nodes of an older build, which do not know the form, go on as they were, and the
 // others bring up one that is cut off beside them.
 func TestTwoBuildsInOneFleet(t *testing.T) {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -73,7 +73,7 @@
 		s.List = append(s.List, handoff.Entry(e))
 	}
 	if n.fleet != nil {
-		rec := n.fleet.agent.Recorder().Take(n.now())
+		rec := n.takeRecord()
 		s.Record = &rec
 	}
 	fleet, servers := n.module.Learned()
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"barrowscale/balance"
 	"barrowscale/fleet/follow"
+	"barrowscale/fleet/roster"
 	"barrowscale/fleet/version"
 	"barrowscale/internal/backend"
 	"barrowscale/internal/console"
@@ -26,6 +28,7 @@
 // with them (docs/audit.md).
 type Fleet struct {
 	follow.Settings
+	Members     bool          // it finds out who is alive (docs/members.md)
 	RecordFile  string        // takes the record; empty: the console alone tells it
 	RecordEvery time.Duration // how often
 }
@@ -34,6 +37,7 @@
 	holdsPerNarrow = 3        // calls of a watch that end within the time after which a node narrows
 	mostRecords    = 16 << 20 // bytes of a record file; then it is set aside and begun anew
 	closedHoldOff  = time.Second
+	mostSeeds      = 3
 	unreadTime     = 150 * time.Millisecond // after a stop, in which what came meanwhile is read
 	spareTime      = 120 * time.Millisecond // that a request which waits must have left: longer than a tick
 )
@@ -43,7 +47,8 @@
 type fleet struct {
 	cfg     *Fleet
 	agent   *follow.Agent
-	waiting []*Request // that came while the node waits to hear whether what it believes still holds
+	roster  *roster.Roster // nil: who is alive is not found out
+	waiting []*Request     // that came while the node waits to hear whether what it believes still holds
 	changed bool
 	used    uint64 // digest of the servers that may be used while it has narrowed
 	turnAt  atomic.Int64
@@ -55,6 +60,7 @@
 // What the loop is told of the fleet.
 type (
 	fleetHeard   follow.Heard
+	rosterHeard  follow.Heard
 	recordWanted chan version.Record
 )
 
@@ -63,12 +69,68 @@
 	if cfg.Fleet == nil || cfg.PeerListen == "" || !cfg.Settings.MayMessage {
 		return nil
 	}
-	f := &fleet{cfg: cfg.Fleet, agent: follow.New(cfg.Fleet.Settings, follow.Fixed{Nodes: len(cfg.Peers), Number: cfg.Settings.Self},
-		now, cfg.Seed, cfg.Name, cfg.settingsDigest, buildDigest())}
+	f := &fleet{cfg: cfg.Fleet}
+	if self := cfg.Settings.Self; cfg.Fleet.Members {
+		var seeds []netip.AddrPort
+		for i := 1; i < len(cfg.Peers) && i <= mostSeeds; i++ { // the next ones: each node is somebody's seed
+			seeds = append(seeds, roster.Numbered((self+i)%len(cfg.Peers)))
+		}
+		set := roster.Defaults()
+		set.Strangers = []netip.Prefix{netip.MustParsePrefix("0.0.0.0/16")} // the numbers that the configuration has; addresses are checked before
+		f.roster = roster.New(set, roster.Member{ID: roster.ID(self), Addr: roster.Numbered(self), Life: roster.Life(now / time.Second)}, seeds, now, cfg.Seed)
+	}
+	f.agent = follow.New(cfg.Fleet.Settings, peersOf{f, len(cfg.Peers), cfg.Settings.Self}, now, cfg.Seed, cfg.Name, cfg.settingsDigest, buildDigest())
 	f.turnAt.Store(int64(now))
 	return f
 }
 
+// peersOf is the fleet as the configuration numbers it, less those that are gone.
+type peersOf struct {
+	f          *fleet
+	size, self int
+}
+
+func (p peersOf) Size() int { return p.size }
+func (p peersOf) Self() int { return p.self }
+func (p peersOf) Lives(number int) bool {
+	return p.f.roster == nil || !p.f.roster.Gone(roster.ID(number))
+}
+
+// rosterDo gives an event to the roster and carries out what it wants.
+func (n *Node) rosterDo(e roster.Event) {
+	f := n.fleet
+	if f == nil || f.roster == nil {
+		return
+	}
+	for _, a := range f.roster.Handle(n.now(), e) {
+		switch a := a.(type) {
+		case roster.Tell:
+			if to, ok := roster.Number(a.To); ok {
+				n.peers.send(balance.SendMessage{To: to, Data: a.Data})
+			}
+		case roster.Changed:
+			log.Printf("fleet: node %d is %v, life %d", a.ID, a.Status, a.Life)
+		}
+	}
+}
+
+// takeRecord gives the record as of now, with the members.
+func (n *Node) takeRecord() version.Record {
+	r := n.fleet.agent.Recorder().Take(n.now())
+	if n.fleet.roster == nil {
+		return r
+	}
+	r.Majority = n.fleet.roster.Majority()
+	for _, m := range n.fleet.roster.Members() {
+		heard := time.Duration(-1)
+		if m.Heard > 0 {
+			heard = n.now() - m.Heard
+		}
+		r.Members = append(r.Members, version.Member{Process: int(m.ID), Status: m.Status.String(), Life: uint32(m.Life), Heard: heard})
+	}
+	return r
+}
+
 // digestOf gives the digest of settings, without what differs from node to node.
 func digestOf(settings []byte) uint16 {
 	var all map[string]any
@@ -142,6 +204,7 @@
 				n.forget(r)
 			}
 		}
+		n.rosterDo(roster.Woke{Gap: gap})
 		n.fleetDo(follow.Woke{Gap: gap})
 	}
 	n.fleet.turnAt.Store(int64(now))
@@ -183,6 +246,7 @@
 	if n.fleet == nil {
 		return
 	}
+	n.rosterDo(roster.Ticked{})
 	n.fleetDo(follow.Ticked{})
 	if n.fleet.agent.Fresh(n.now()) == 0 {
 		return
@@ -372,7 +436,7 @@
 	if n.fleet == nil || n.fleet.cfg.RecordFile == "" {
 		return
 	}
-	r := n.fleet.agent.Recorder().Take(n.now())
+	r := n.takeRecord()
 	r.Ended = true
 	if err := appendRecord(n.fleet.cfg.RecordFile, &r); err != nil {
 		log.Printf("fleet: the last record is not written: %v", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	"barrowscale/balance"
 	"barrowscale/fleet/follow"
+	"barrowscale/fleet/roster"
 	"barrowscale/fleet/version"
 	"barrowscale/handoff"
 	"barrowscale/internal/backend"
@@ -224,6 +225,7 @@
 			n.pool.Reap()
 			n.byHand.Forget(n.now(), n.cfg.Settings.ColdTime)
 		case <-ctx.Done():
+			n.rosterDo(roster.Ends{})
 			n.recordEnd()
 			return
 		}
@@ -260,9 +262,12 @@
 	case overheard:
 		n.overhear(e.State)
 	case fleetHeard:
+		n.rosterDo(roster.Told{ID: roster.ID(e.From)})
 		n.fleetDo(follow.Heard(e))
+	case rosterHeard:
+		n.rosterDo(roster.Heard{From: roster.Numbered(e.From), Data: e.Data})
 	case recordWanted:
-		e <- n.fleet.agent.Recorder().Take(n.now())
+		e <- n.takeRecord()
 	case balance.MessageReceived:
 		if n.fleet == nil || n.fleet.agent.Uses(e.From) {
 			n.handle(e)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -9,6 +9,7 @@
 
 	"barrowscale/balance"
 	"barrowscale/fleet/follow"
+	"barrowscale/fleet/roster"
 )
 
 const maxDatagram = 256
@@ -82,6 +83,10 @@
 				continue
 			}
 		}
+		if fleet && roster.Ours(data) {
+			post(rosterHeard{From: number, Data: data})
+			continue
+		}
 		post(balance.MessageReceived{From: number, Data: data})
 	}
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -26,6 +26,7 @@
 	Wake       strict.Span `toml:"wake_gap"`
 	WakeHold   strict.Span `toml:"wake_hold"`
 
+	Members     bool        `toml:"members"`     // nodes find out who is alive
 	RecordFile  string      `toml:"record_file"` // none if empty
 	RecordEvery strict.Span `toml:"record_every"`
 }
