Tenants' quotas are shared by traffic, and never add up to more than the whole

Change: quotas = true in [fleet]: internal/node runs a share a tenant over the datagrams' socket, its need is its traffic, and the module takes its part as an event (PartsGiven); without one nothing changes. The record has the parts, ivylockctl fleet shares their sums. Scenario files learn quota.

--- a/balance/api.go
+++ b/balance/api.go
@@ -262,6 +262,9 @@
 		From int
 		Data []byte
 	}
+	// PartsGiven says how much of the tenants' quotas is this node's by now, requests a
+	// second. A tenant that is not named keeps what it has.
+	PartsGiven struct{ Tenants map[string]float64 }
 	// TimerFired answers a SetTimer.
 	TimerFired struct{ Token int64 }
 )
@@ -274,6 +277,7 @@
 func (RequestAbandoned) event() {}
 func (ProbeEnded) event()       {}
 func (MessageReceived) event()  {}
+func (PartsGiven) event()       {}
 func (TimerFired) event()       {}
 
 // Action is something the caller is to do. The types below are all there are.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -120,6 +120,8 @@
 		m.probed(e)
 	case MessageReceived:
 		m.heard(e)
+	case PartsGiven:
+		m.divide(e)
 	case TimerFired, *TimerFired:
 		m.tick()
 		m.do(m.timer)
--- a/balance/state.go
+++ b/balance/state.go
@@ -88,6 +88,15 @@
 	unheld, pending                bool // its body is used up: it can not be sent again; it is still coming
 }
 
+// divide takes how much of the tenants' quotas is this node's.
+func (m *Module) divide(e PartsGiven) {
+	for name, part := range e.Tenants {
+		if t := m.tenants[name]; t != nil && part >= 0 {
+			t.perNode = part
+		}
+	}
+}
+
 type tenant struct {
 	perNode, tokens float64
 	at              Time
--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	if f := file.Fleet; f != nil {
-		cfg.Fleet = &node.Fleet{Settings: f.Settings(), Members: f.Members, RecordFile: f.RecordFile, RecordEvery: f.RecordEvery.Duration}
+		cfg.Fleet = &node.Fleet{Settings: f.Settings(), Members: f.Members, Quotas: f.Quotas, RecordFile: f.RecordFile, RecordEvery: f.RecordEvery.Duration}
 	}
 	return nil
 }
--- a/fleet/audit/members.go
+++ b/fleet/audit/members.go
@@ -1,6 +1,12 @@
 package audit
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"barrowscale/fleet/version"
+)
 
 // View is how one process sees the fleet.
 type View struct {
@@ -31,3 +37,44 @@
 	}
 	return out
 }
+
+// Shared is a whole that the fleet shares, as far as the records go. They are of
+// different moments, so a sum may be off by what changed hands meanwhile.
+type Shared struct {
+	Whole string  `json:"whole"`
+	Base  float64 `json:"base"`
+	Held  float64 `json:"held"`
+	Need  float64 `json:"need"`
+	Parts []Held  `json:"parts"`
+}
+
+// Held is one process's part.
+type Held struct {
+	Process string `json:"process"`
+	version.Part
+}
+
+// Shares tells what the processes hold of each whole.
+func (a *Audit) Shares() []Shared {
+	by := map[string]*Shared{}
+	for _, l := range a.lives {
+		for _, p := range l.Parts {
+			if !l.last {
+				continue
+			}
+			s := by[p.Whole]
+			if s == nil {
+				s = &Shared{Whole: p.Whole}
+				by[p.Whole] = s
+			}
+			s.Base, s.Held, s.Need = s.Base+p.Base, s.Held+p.Held, s.Need+p.Need
+			s.Parts = append(s.Parts, Held{l.Process, p})
+		}
+	}
+	var out []Shared
+	for _, s := range by {
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(x, y Shared) int { return strings.Compare(x.Whole, y.Whole) })
+	return out
+}
--- a/fleet/version/record.go
+++ b/fleet/version/record.go
@@ -175,6 +175,7 @@
 	Reached      List          `json:"reached"`       // up to which all withdrawals are in force, by whoever told them
 	Before       []Life        `json:"before"`        // former processes of this node, oldest first
 	Members      []Member      `json:"members"`       // who it takes to be in the fleet; none where it does not find out
+	Parts        []Part        `json:"parts"`         // of wholes that are shared
 	Majority     bool          `json:"majority"`      // most of the last agreed fleet are among them
 }
 
@@ -186,6 +187,14 @@
 	Heard   time.Duration `json:"heard"` // ago; negative: never
 }
 
+// Part is what a process holds of a whole that the fleet shares, in its unit.
+type Part struct {
+	Whole string  `json:"whole"`
+	Base  float64 `json:"base"` // an equal part
+	Held  float64 `json:"held"`
+	Need  float64 `json:"need"`
+}
+
 // Life sums up a former process of the same node.
 type Life struct {
 	Life  Stamp  `json:"life"`
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -80,6 +80,7 @@
 	fleet.AddCommand(versions, why,
 		a.command("audit", "sends that happened although the sender, or another process, knew better", a.breaks),
 		a.command("members", "whom each process takes to be in the fleet", a.members),
+		a.command("shares", "what each process holds of the wholes that the fleet shares, and their sums", a.shares),
 		a.command("changes", "how long each version took to reach the fleet", a.changes))
 	root.AddCommand(fleet)
 	return root
@@ -216,6 +217,22 @@
 	return err
 }
 
+// shares shows what each process holds of each whole, and what that comes to.
+func (a *app) shares(x *audit.Audit) error {
+	all := x.Shares()
+	return a.table(all, "whole\tprocess\tbase\theld\tneed", func(w io.Writer) {
+		for _, s := range all {
+			for _, p := range s.Parts {
+				fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.1f\n", s.Whole, p.Process, p.Base, p.Held, p.Need)
+			}
+			fmt.Fprintf(w, "%s\tsum of %d\t%.1f\t%.1f\t%.1f\n", s.Whole, len(s.Parts), s.Base, s.Held, s.Need)
+		}
+		if len(all) == 0 {
+			fmt.Fprintln(w, "no process on record shares anything; quotas = true in [fleet] has nodes do so")
+		}
+	})
+}
+
 // story is all that is known of one process.
 type story struct {
 	audit.Process
--- a/internal/lab/nodeconf/nodeconf.go
+++ b/internal/lab/nodeconf/nodeconf.go
@@ -57,7 +57,12 @@
 	}
 	m, _ := clip.Of("std-6")
 	nodes := s.Nodes()
+	accounts := []object{}
+	if s.Quota > 0 {
+		accounts = append(accounts, object{"name": "club", "quota_per_s": s.Quota})
+	}
 	raw, err := json.Marshal(object{
+		"accounts":  accounts,
 		"balancers": len(nodes), "slot_no": number, "zone": nodes[number].Hall, "failure_domains": halls,
 		"kinds": []string{"fast-6", "std-6", "slow-6"}, "family": "proxy", "tier": 0, "tiers": []string{"clip-web"},
 		"caps": object{"cancel": true, "conn_idle_ns": 60e9, "connect_timeout_ns": 250e6, "cpu_us_per_s": 15000,
--- a/internal/lab/real/fleet_test.go
+++ b/internal/lab/real/fleet_test.go
@@ -320,6 +320,41 @@
 	}
 }
 
+// A tenant's quota is shared by nine nodes, one of which has four times the others'
+// traffic, dies and comes back, among lost datagrams: its part follows, and all parts
+// together stay within the quota.
+func TestQuotasFollowTheTraffic(t *testing.T) {
+	t.Parallel()
+	layout := strings.Replace(strings.Replace(nine, "nodes = 3", "nodes = 1", 1), "nodes = 3", "nodes = 4", 2)
+	s := parse(t, "name = \"quota\"\nlength = \"16s\"\nfleet = true\nquota = 200.0\n[must]\nfaults_happen = true\n[load]\nrate = 120.0\n"+layout+
+		"[[fault]]\nat = \"0s\"\nfor = \"16s\"\nwhat = \"peers\"\nwho = [\"n0\", \"n1\", \"n2\"]\nloss = 0.2\n"+
+		"[[fault]]\nat = \"6s\"\nfor = \"2s\"\nwhat = \"kill\"\nwho = [\"n0\"]\n")
+	var before, after []version.Record
+	h, _ := day(t, s, Options{Fleet: "quotas = true"}, func(ctx context.Context, h *Hall) {
+		if till(ctx, h, 5*time.Second+500*time.Millisecond) {
+			before = h.Records()
+		}
+		if till(ctx, h, 15*time.Second) {
+			after = h.Records()
+		}
+	})
+	v := judge.Judge(h)
+	for _, line := range holds.Check(s, h, &v) {
+		t.Error(line)
+	}
+	for when, records := range map[string][]version.Record{"before its death": before, "after it": after} {
+		all := audit.New(records, audit.Defaults()).Shares()
+		if len(all) != 1 || len(all[0].Parts) != 9 {
+			t.Fatalf("%s: %+v", when, all)
+		}
+		x := all[0]
+		t.Logf("%s: n0 has %.1f of its need of %.1f, base %.1f; all together %.1f of 200", when, x.Parts[0].Held, x.Parts[0].Need, x.Parts[0].Base, x.Held)
+		if p := x.Parts[0]; p.Held < p.Need || when == "before its death" && p.Need < 1.2*p.Base || x.Held > 210 { // the records are some ms apart
+			t.Errorf("%s: n0 %+v, all together %.1f of 200", when, p, x.Held)
+		}
+	}
+}
+
 // Nodes of an older build, which do not know the form, go on as they were, and the
 // others bring up one that is cut off beside them.
 func TestTwoBuildsInOneFleet(t *testing.T) {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -22,6 +22,7 @@
 	Halls  []Hall  `toml:"hall"`
 	Faults []Fault `toml:"fault"`
 	Must   Must    `toml:"must"`
+	Quota  float64 `toml:"quota,omitempty"` // of the one tenant whose requests all are, a second; 0: there is no tenant
 	Fleet  bool    `toml:"fleet,omitempty"` // nodes tell one another what they act on, as the operator's [fleet] has them do
 }
 
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -29,6 +29,7 @@
 type Fleet struct {
 	follow.Settings
 	Members     bool          // it finds out who is alive (docs/members.md)
+	Quotas      bool          // parts of tenants' quotas follow their traffic
 	RecordFile  string        // takes the record; empty: the console alone tells it
 	RecordEvery time.Duration // how often
 }
@@ -48,6 +49,7 @@
 	cfg     *Fleet
 	agent   *follow.Agent
 	roster  *roster.Roster // nil: who is alive is not found out
+	quotas  *quotas        // nil: parts are equal
 	waiting []*Request     // that came while the node waits to hear whether what it believes still holds
 	changed bool
 	used    uint64 // digest of the servers that may be used while it has narrowed
@@ -61,6 +63,7 @@
 type (
 	fleetHeard   follow.Heard
 	rosterHeard  follow.Heard
+	quotaHeard   follow.Heard
 	recordWanted chan version.Record
 )
 
@@ -77,9 +80,10 @@
 		}
 		set := roster.Defaults()
 		set.Strangers = []netip.Prefix{netip.MustParsePrefix("0.0.0.0/16")} // the numbers that the configuration has; addresses are checked before
-		f.roster = roster.New(set, roster.Member{ID: roster.ID(self), Addr: roster.Numbered(self), Life: roster.Life(now / time.Second)}, seeds, now, cfg.Seed)
+		f.roster = roster.New(set, roster.Member{ID: rosterID(self), Addr: roster.Numbered(self), Life: roster.Life(now / time.Second)}, seeds, now, cfg.Seed)
 	}
 	f.agent = follow.New(cfg.Fleet.Settings, peersOf{f, len(cfg.Peers), cfg.Settings.Self}, now, cfg.Seed, cfg.Name, cfg.settingsDigest, buildDigest())
+	f.quotas = newQuotas(cfg, now)
 	f.turnAt.Store(int64(now))
 	return f
 }
@@ -93,9 +97,11 @@
 func (p peersOf) Size() int { return p.size }
 func (p peersOf) Self() int { return p.self }
 func (p peersOf) Lives(number int) bool {
-	return p.f.roster == nil || !p.f.roster.Gone(roster.ID(number))
+	return p.f.roster == nil || !p.f.roster.Gone(rosterID(number))
 }
 
+func rosterID(number int) roster.ID { return roster.ID(number) }
+
 // rosterDo gives an event to the roster and carries out what it wants.
 func (n *Node) rosterDo(e roster.Event) {
 	f := n.fleet
@@ -117,6 +123,7 @@
 // takeRecord gives the record as of now, with the members.
 func (n *Node) takeRecord() version.Record {
 	r := n.fleet.agent.Recorder().Take(n.now())
+	r.Parts = n.fleet.quotas.parts(n.now())
 	if n.fleet.roster == nil {
 		return r
 	}
@@ -204,6 +211,7 @@
 				n.forget(r)
 			}
 		}
+		n.quotaTick() // what has run out must not be used by the first request
 		n.rosterDo(roster.Woke{Gap: gap})
 		n.fleetDo(follow.Woke{Gap: gap})
 	}
@@ -247,6 +255,7 @@
 		return
 	}
 	n.rosterDo(roster.Ticked{})
+	n.quotaTick()
 	n.fleetDo(follow.Ticked{})
 	if n.fleet.agent.Fresh(n.now()) == 0 {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -262,8 +262,10 @@
 	case overheard:
 		n.overhear(e.State)
 	case fleetHeard:
-		n.rosterDo(roster.Told{ID: roster.ID(e.From)})
+		n.rosterDo(roster.Told{ID: rosterID(e.From)})
 		n.fleetDo(follow.Heard(e))
+	case quotaHeard:
+		n.quotaHear(e.From, e.Data)
 	case rosterHeard:
 		n.rosterDo(roster.Heard{From: roster.Numbered(e.From), Data: e.Data})
 	case recordWanted:
@@ -297,6 +299,9 @@
 		r.answer <- Answer{Status: http.StatusServiceUnavailable} // as the settings say: before it reaches the module
 		return
 	}
+	if n.fleet != nil {
+		n.fleet.quotas.arrived(r.Tenant)
+	}
 	if n.fleet != nil && !n.admit(r) {
 		return
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -10,6 +10,7 @@
 	"barrowscale/balance"
 	"barrowscale/fleet/follow"
 	"barrowscale/fleet/roster"
+	"barrowscale/fleet/shares"
 )
 
 const maxDatagram = 256
@@ -83,6 +84,10 @@
 				continue
 			}
 		}
+		if fleet && shares.Ours(data) {
+			post(quotaHeard{From: number, Data: data})
+			continue
+		}
 		if fleet && roster.Ours(data) {
 			post(rosterHeard{From: number, Data: data})
 			continue
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -27,6 +27,7 @@
 	WakeHold   strict.Span `toml:"wake_hold"`
 
 	Members     bool        `toml:"members"`     // nodes find out who is alive
+	Quotas      bool        `toml:"quotas"`      // parts of tenants' quotas follow their traffic
 	RecordFile  string      `toml:"record_file"` // none if empty
 	RecordEvery strict.Span `toml:"record_every"`
 }
