A start is no stop, and a request that waits counts once in its tenant's need

Need: reading the change once: what a process's start took could be taken for a stop, and a request that waited after one was counted twice as a tenant's traffic.

Change: the loop's first turn sets the clock; arrivals are counted once they are let in. Measured: internal/node and cmd/ivylock pass.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,6 +202,9 @@
 	defer func() { n.source.Close() }()
 	reap, look := time.NewTicker(reapInterval), time.NewTicker(lookInterval)
 	defer reap.Stop()
+	if n.fleet != nil {
+		n.fleet.turnAt.Store(int64(n.now())) // what its start took is no stop
+	}
 	defer look.Stop()
 	for {
 		n.turn()
@@ -300,11 +303,11 @@
 		return
 	}
 	if n.fleet != nil {
+		if !n.admit(r) {
+			return
+		}
 		n.fleet.quotas.arrived(r.Tenant)
 	}
-	if n.fleet != nil && !n.admit(r) {
-		return
-	}
 	n.requests[r.ID] = r
 	r.Patience, r.Pending = time.Until(r.Deadline), r.Rest != nil
 	n.handle(&r.RequestArrived)
