--- a/test.sh
+++ b/test.sh
@@ -10,13 +10,25 @@
 go vet ./...
 mkdir -p bin
 go build -o bin/ ./cmd/...
+# KNOWN-RED.txt lists tests that fail for a known fault, one a line: "Test: cause; issue".
+# These alone are passed over, and printed.
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+	echo "known failures, passed over:" >&2
+	cat KNOWN-RED.txt >&2
+	if [ "$(wc -l <KNOWN-RED.txt)" -gt 3 ]; then
+		echo "KNOWN-RED.txt lists more than three tests" >&2
+		exit 1
+	fi
+	skip=(-skip "^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|'))\$")
+fi
 # What has goroutines runs under the race detector, which wants a C compiler.
-concurrent='/(internal/(node|front|console|handover|backend|discovery|xds|control|ctl|lab/(alarm|real|xdsdrain|clipserver|hosts|caller|link|socket|history))|cmd/ivylock)$'
+concurrent='/(internal/(accept|node|front|console|handover|backend|discovery|xds|control|ctl|eventlog|logsink|lab/(alarm|real|soak|xdsdrain|clipserver|hosts|caller|link|socket|history))|cmd/ivylock)$'
 if [ "$(go env CGO_ENABLED)" = 1 ] && command -v "$(go env CC)" >/dev/null; then
-	go test $(go list ./... | grep -vE "$concurrent")
-	# The lab's processes mostly wait: a test takes a third of a core.
+	go test "${skip[@]}" $(go list ./... | grep -vE "$concurrent")
+	# The lab's processes mostly wait, but a test with dozens of them takes more than a core for a while.
 	cores=$(getconf _NPROCESSORS_ONLN)
-	go test -race -parallel $((cores > 3 ? cores + 1 : 4)) $(go list ./... | grep -E "$concurrent")
+	go test -race "${skip[@]}" -parallel $((cores > 5 ? cores * 3 / 4 : 4)) $(go list ./... | grep -E "$concurrent")
 else
-	go test ./...
+	go test "${skip[@]}" ./...
 fi
