--- /dev/null
+++ b/internal/accept/accept_test.go
@@ -0,0 +1,80 @@
+package accept
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"barrowscale/internal/nodetest"
+)
+
+// Whatever the system fails an accept with, the next connection is accepted within
+// milliseconds, and each failure is told.
+func TestAnAcceptThatFailsIsMadeAgain(t *testing.T) {
+	inner := nodetest.NewFailingListener(t, 10)
+	var failed atomic.Int64
+	l := New(inner, func(error) { failed.Add(1) })
+	defer l.Close()
+	for errno := syscall.Errno(1); errno < 134; errno++ { // each that Linux has
+		const times = 3
+		for range times {
+			inner.Errors <- errno
+		}
+		theirs, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		failed.Store(0)
+		ours, err := l.Accept()
+		if err != nil {
+			t.Fatalf("%v: %v", errno, err)
+		}
+		if failed.Load() != times {
+			t.Errorf("%v: %d failures were told", errno, failed.Load())
+		}
+		ours.Close()
+		theirs.Close()
+	}
+}
+
+// A listener that fails for ever costs some hundred calls a second, and ends when it is closed.
+func TestAcceptsThatFailForEverEndWithTheListener(t *testing.T) {
+	inner := nodetest.NewFailingListener(t, 10_000)
+	for range cap(inner.Errors) {
+		inner.Errors <- syscall.EMFILE
+	}
+	l := New(inner, nil)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	time.Sleep(200 * time.Millisecond)
+	if calls := inner.Calls.Load(); calls < 10 || calls > 200 {
+		t.Errorf("%d accepts in 0.2 s", calls)
+	}
+	l.Close()
+	select {
+	case err := <-ended:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	case <-time.After(nodetest.Patience):
+		t.Error("it goes on")
+	}
+}
+
+func TestADeadlineIsPassedOn(t *testing.T) {
+	l := New(nodetest.NewFailingListener(t, 1), nil)
+	defer l.Close()
+	if !l.SetDeadline(time.Now()) {
+		t.Fatal("it has no deadline")
+	}
+	if _, err := l.Accept(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,86 @@
+package eventlog
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func TestTheLatestEventsAreKept(t *testing.T) {
+	l := New()
+	const added = Capacity + 10
+	for i := range added {
+		l.Add(Event{Kind: RequestRead, Request: fmt.Sprint(i), Connection: uint64(i + 1)})
+	}
+	events := l.Events("")
+	if len(events) != Capacity || events[0].Request != "10" || events[Capacity-1].Request != fmt.Sprint(added-1) {
+		t.Errorf("%d events are kept, from %q to %q", len(events), events[0].Request, events[len(events)-1].Request)
+	}
+	if got := l.Events("11"); len(got) != 1 || got[0].Connection != 12 {
+		t.Errorf("of request 11: %v", got)
+	}
+	if got := l.Events("3"); got != nil {
+		t.Errorf("of a request that was overwritten: %v", got)
+	}
+	if text := string(l.Text("11")); !strings.HasPrefix(text, fmt.Sprintf("%d events, 10 overwritten\n", added)) || strings.Count(text, "\n") != 2 {
+		t.Errorf("worded as %q", text)
+	}
+}
+
+func TestAnEventIsWordedOnOneLine(t *testing.T) {
+	at := time.Date(2026, 1, 2, 3, 4, 5, 6000, time.UTC)
+	for want, e := range map[string]Event{
+		`03:04:05.000006 phase reason="draining"`:                                       {Kind: PhaseChanged, Reason: "draining"},
+		`03:04:05.000006 request ended request="a\nb" connection=7 status=503`:          {Kind: RequestEnded, Request: "a\nb", Connection: 7, Status: 503},
+		`03:04:05.000006 attempt ended request="a" attempt=0 server="s" reason="reset"`: {Kind: AttemptEnded, Request: "a", Server: "s", Reason: "reset"},
+		`03:04:05.000006 kind 99`:                                                       {Kind: 99},
+	} {
+		e.At = at
+		if got := e.String(); got != want {
+			t.Errorf("got  %s\nwant %s", got, want)
+		}
+	}
+}
+
+func TestANilLogKeepsNothing(t *testing.T) {
+	var l *Log
+	l.Add(Event{Kind: RequestRead})
+	if l.Events("") != nil || l.Total() != 0 {
+		t.Error("a nil log kept an event")
+	}
+}
+
+func TestEventsAreAddedFromManyGoroutines(t *testing.T) {
+	l := New()
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 2000 {
+				l.Add(Event{Kind: AttemptWritten, Request: "r", Server: "s"})
+				if len(l.Events("none")) != 0 {
+					t.Error("an event of nobody's request")
+				}
+			}
+		})
+	}
+	all.Wait()
+	if l.Total() != 16000 {
+		t.Errorf("%d events were added", l.Total())
+	}
+}
+
+func TestAddingAllocatesNothing(t *testing.T) {
+	l := New()
+	if n := testing.AllocsPerRun(100, func() { l.Add(Event{Kind: RequestRead, Request: "r"}) }); n > 0 {
+		t.Errorf("%v allocations an event", n)
+	}
+}
+
+func BenchmarkAdd(b *testing.B) {
+	l := New()
+	for range b.N {
+		l.Add(Event{Kind: AttemptWritten, Request: "r", Server: "s"})
+	}
+}
--- a/internal/nodetest/nodetest.go
+++ b/internal/nodetest/nodetest.go
@@ -41,8 +41,27 @@
 		"tick_ns":5000000,"zone":"z"}}`
 }
 
-// ClosedAddr is a loopback address at which nothing listens.
+// ClosedAddr is an address on loopback at which nobody listens, nor will while the test
+// runs: a socket that does not listen is bound to it, so that no other test gets its port.
 func ClosedAddr(t testing.TB) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+}
+
+// FreeAddr is an address on loopback at which a process may listen.
+func FreeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
