Audit stamps a server's return by the process's own clock; a state of the future is not fresh

Cause: a server's return was stamped by the fleet's hybrid clock, which runs ahead of the process's own, and the sends by the own clock: a send right after the return counted as one before it, and the audit said that it was late. A hand-over's state of a clock that was set back counted as fresh, whatever its age.

Measured: TestSendsAfterAServersReturnAreNotTooLate and TestTakes pass; both cases were seen to fail without the change.

--- a/fleet/audit/audit_test.go
+++ b/fleet/audit/audit_test.go
@@ -69,6 +69,35 @@
 	}
 }
 
+// A process whose clock is behind that of the one it hears sends to a server as soon as its source gives it back: the
+// word of that is not stamped later than sends that follow it. Sends before it are found.
+func TestSendsAfterAServersReturnAreNotTooLate(t *testing.T) {
+	for _, x := range []struct {
+		after time.Duration
+		found int
+	}{{time.Millisecond, 0}, {-20 * time.Millisecond, 1}, {-time.Second, 1}} {
+		all := fleetOf(2, func(i int) time.Duration { return time.Duration(i) * 15 * time.Millisecond })
+		p := all[0]
+		p.acts(41)
+		p.rec.Withdrawn(p.wall(), "s-1", version.Draining, p.list, version.Own)
+		sent := func() { p.rec.Sends("s-1").Sent(p.wall() + x.after) }
+		at(all, 6*time.Second)
+		if x.after < 0 {
+			sent()
+		}
+		p.hears(all[1])
+		p.acts(42)
+		p.rec.Again(p.wall(), "s-1", p.list)
+		if x.after > 0 {
+			sent()
+		}
+		at(all, 7*time.Second)
+		if got := New([]version.Record{p.rec.Take(p.wall())}, Defaults()).Breaks(); len(got) != x.found {
+			t.Errorf("sent %v after its return: %+v", x.after, got)
+		}
+	}
+}
+
 // Of 300 processes with clocks off by up to 2 s, one by an hour, and a tenth of the
 // records missing, the audit finds each that sent too late and each that is behind,
 // says unknown where it has nothing to go by, and says nothing that is not so.
--- a/fleet/version/record.go
+++ b/fleet/version/record.go
@@ -308,11 +308,13 @@
 	}
 }
 
-// Again says that a server may be used again, by a version of the own list.
+// Again says that a server may be used again, by a version of the own list. It is stamped by the process's own
+// clock, as sends are, and put beside the fleet's with them when the record is taken: the fleet's clock runs ahead
+// of the own one from time to time, and sends that follow would seem to come before.
 func (r *Recorder) Again(now Time, name string, l List) {
 	for i := len(r.rec.Withdrawals) - 1; i >= 0; i-- {
 		if w := &r.rec.Withdrawals[i]; w.Server == name && w.Again == 0 {
-			w.Again, w.Back = r.clock.Now(now), l
+			w.Again, w.Back = StampOf(now), l
 		}
 	}
 }
@@ -405,6 +407,11 @@
 	out.Before, out.Refused = slices.Clone(r.rec.Before), slices.Clone(r.rec.Refused)
 	out.RefusedOld, out.ClockRefused, out.ClockLag = r.refused.Load(), r.clock.Refused, r.clock.WorstLag
 	lag := max(0, out.At.Time()-now)
+	for i := range out.Withdrawals {
+		if w := &out.Withdrawals[i]; w.Again != 0 {
+			w.Again = StampOf(w.Again.Time() + lag)
+		}
+	}
 	for name, s := range r.sends {
 		if x := s.server(name, lag); x.Sends > 0 {
 			out.Servers = append(out.Servers, x)
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -19,6 +19,10 @@
 // build on it. Older, only the list and the operators' words are taken over.
 const FreshTime = 5 * time.Second
 
+// clockNoise is how far ahead of a new process's clock a fresh state may be: the clock was
+// slewed.
+const clockNoise = 100 * time.Millisecond
+
 // Entry is a server as discovery told it last.
 type Entry struct {
 	InstanceID  string  `json:"instanceId"`
@@ -88,7 +92,8 @@
 	if found == nil || found.Version != Version || found.Node != node {
 		return false, false
 	}
-	return true, now-found.At <= FreshTime
+	age := now - found.At
+	return true, age >= -clockNoise && age <= FreshTime // one from the future: the clock was set back, and its age is not known
 }
 
 // Follows tells a process whether a list that another process of its node was
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -35,6 +35,8 @@
 		words, measured bool
 	}{
 		{"fresh", s, "n0", 101 * time.Second, true, true},
+		{"of a clock that was set back an hour", s, "n0", 100*time.Second - time.Hour, true, false},
+		{"of a clock that was slewed", s, "n0", 100*time.Second - clockNoise/2, true, true},
 		{"old", s, "n0", 200 * time.Second, true, false},
 		{"another node's", s, "n1", 101 * time.Second, false, false},
 		{"of a later form", &State{Version: Version + 1, Node: "n0"}, "n0", 0, false, false},
