--- a/balance/api.go
+++ b/balance/api.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"barrowscale/fleet/subset"
+	"barrowscale/guard"
 )
 
 // Time is a reading of the caller's monotonic clock. Its zero has no meaning.
@@ -23,28 +24,21 @@
 	RequestID string
 )
 
-// Effect says what a second execution of a request would do.
-type Effect int
-
-const (
-	// Unsafe requests must never run twice.
-	Unsafe Effect = iota
-	// Keyed requests carry a key by which a group of servers drops repeats.
-	Keyed
-	// Safe requests may run any number of times.
-	Safe
+// Effect says what a second execution of a request would do, Scope which servers
+// share knowledge of keys.
+type (
+	Effect = guard.Effect
+	Scope  = guard.Scope
 )
 
-// Scope is the group of servers that share knowledge of keys.
-type Scope int
-
+// The effects and scopes, as package guard explains them.
 const (
-	// ScopeCell is one cell of servers.
-	ScopeCell Scope = iota
-	// ScopeZone is one zone.
-	ScopeZone
-	// ScopeAll is every server.
-	ScopeAll
+	Unsafe    = guard.Unsafe
+	Keyed     = guard.Keyed
+	Safe      = guard.Safe
+	ScopeCell = guard.ScopeCell
+	ScopeZone = guard.ScopeZone
+	ScopeAll  = guard.ScopeAll
 )
 
 // Class describes one kind of request.
@@ -61,6 +55,11 @@
 	Streamed    bool          // the answer is a stream
 }
 
+// Repeats gives the class's rules on what may run twice.
+func (c *Class) Repeats() guard.Repeats {
+	return guard.Repeats{Effect: c.Effect, Scope: c.KeyScope, Window: c.DedupWindow}
+}
+
 // Tenant is a customer with a guaranteed share.
 type Tenant struct {
 	Name  string
@@ -88,6 +87,7 @@
 	MarksRepeats   bool          // clients mark their repeats
 	ConnectTimeout time.Duration
 	MinTick        time.Duration // events come no closer together than this
+	HoldUp         time.Duration // how long after its choice an attempt may be written by a process that is held up
 	AskForList     bool          // list changes come only after Subscribe or FetchList
 	SizeKnown      bool          // Server.Size tells something of the machine's size
 	SizeLive       bool          // Server.Size falls as the server fills
@@ -170,6 +170,9 @@
 	StartedAt Time    // 0: long ago
 }
 
+// Place is where the server stands, as far as keys are known there.
+func (s *Server) Place() guard.Place { return guard.Place{Zone: s.Zone, Cell: s.Cell} }
+
 // Event is something that happened. The types below are all there are.
 // RequestArrived, AttemptEnded and TimerFired may be given as pointers too,
 // which makes no garbage; the module keeps none of them.
@@ -253,6 +256,8 @@
 		Server  ServerID
 		Elapsed time.Duration
 	}
+	// RequestDue says that the caller wants the final answer now, as its process ends.
+	RequestDue struct{ ID RequestID }
 	// RequestAbandoned says that the client is gone; nothing is owed.
 	RequestAbandoned struct{ ID RequestID }
 	// ProbeEnded is the result of a Probe.
@@ -287,6 +292,7 @@
 func (ListUpdate) event()       {}
 func (AttemptEnded) event()     {}
 func (StreamStarted) event()    {}
+func (RequestDue) event()       {}
 func (RequestAbandoned) event() {}
 func (ProbeEnded) event()       {}
 func (MessageReceived) event()  {}
@@ -294,6 +300,27 @@
 func (FleetChanged) event()     {}
 func (TimerFired) event()       {}
 
+// Cause says why a request was ended without a server's answer. It is told for
+// logs and figures: nothing is decided by it.
+type Cause int
+
+const (
+	// CauseNoServer: no server may take it.
+	CauseNoServer Cause = iota
+	// CauseShed: load is shed.
+	CauseShed
+	// CauseWorthless: an answer would come too late to be worth anything.
+	CauseWorthless
+	// CauseRetryBudget: further attempts have used up their part of all.
+	CauseRetryBudget
+	// CauseDeadline: the client's time is over.
+	CauseDeadline
+	// CauseBodySpent: its body has been passed on and can not be sent again.
+	CauseBodySpent
+	// CauseEnding: the process ends.
+	CauseEnding
+)
+
 // Action is something the caller is to do. The types below are all there are.
 type Action interface{ action() }
 
@@ -316,9 +343,13 @@
 	Refuse struct {
 		ID      RequestID
 		HoldOff time.Duration // how long the client should wait; 0: no advice
+		Why     Cause
 	}
 	// Fail is a final answer that promises nothing.
-	Fail struct{ ID RequestID }
+	Fail struct {
+		ID  RequestID
+		Why Cause
+	}
 	// CancelAttempt stops waiting for an attempt.
 	CancelAttempt struct {
 		ID      RequestID
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,6 +111,10 @@
 		m.started(e)
 	case RequestWhole:
 		m.whole(e.ID)
+	case RequestDue:
+		if r := m.requests[e.ID]; r != nil && !r.done && !r.started {
+			m.finish(r, CauseEnding)
+		}
 	case RequestAbandoned:
 		if r := m.requests[e.ID]; r != nil && !r.done {
 			m.close(r)
@@ -356,11 +360,12 @@
 		s.State != Ready || r.out >= 2 || r.out > 0 && !m.set.MayOverlap {
 		return false
 	}
+	written := m.now + max(m.set.MinTick, m.set.HoldUp) // at the latest, but for its dial
 	for _, a := range r.attempts {
-		c := r.class
-		if a.server == s || a.mayRun && c.Effect != Safe && (c.Effect == Unsafe ||
-			m.now+m.set.MinTick >= a.sent+c.DedupWindow || c.KeyScope == ScopeZone && s.Zone != a.server.Zone ||
-			c.KeyScope == ScopeCell && s.Cell != a.server.Cell) {
+		if a.server == s {
+			return false
+		}
+		if a.mayRun && !r.class.Repeats().MayRepeat(a.server.Place(), a.sent, s.Place(), written) {
 			return false
 		}
 	}
@@ -370,7 +375,7 @@
 // mayRefuse: a refusal promises that a new try does no harm.
 func (m *Module) mayRefuse(r *request) bool {
 	for _, a := range r.attempts {
-		if a.mayRun && (r.class.Effect == Unsafe || r.class.Effect == Keyed && r.class.KeyScope != ScopeAll) {
+		if a.mayRun && !r.class.Repeats().MayRefuse() {
 			return false
 		}
 	}
@@ -411,12 +416,12 @@
 }
 
 // finish gives the final answer where no server did: a refusal if the rules allow one.
-func (m *Module) finish(r *request) {
+func (m *Module) finish(r *request, why Cause) {
 	if m.mayRefuse(r) {
 		wait := m.jitter(time.Duration(holdPart * float64(r.class.Aim)))
-		m.do(Refuse{ID: r.id, HoldOff: min(wait, m.set.MaxHoldOff)})
+		m.do(Refuse{ID: r.id, HoldOff: min(wait, m.set.MaxHoldOff), Why: why})
 	} else {
-		m.do(Fail{ID: r.id})
+		m.do(Fail{ID: r.id, Why: why})
 	}
 	m.close(r)
 }
@@ -460,11 +465,17 @@
 	full := !r.priority && float64(len(m.requests)) > openPart*float64(m.set.MaxOpen) && m.set.MaxOpen > 0
 	shed := full || mode == Overloaded && (r.priority && m.random() < m.q1 || !r.priority && m.random() < m.q2)
 	after := m.mean * r.class.relative
-	if shed || mode == Blocking || (m.crowd || mode != Normal) && m.worthless(r, after) {
+	why := CauseNoServer
+	switch {
+	case shed:
+		s, why = nil, CauseShed
+	case mode == Blocking:
 		s = nil
+	case (m.crowd || mode != Normal) && m.worthless(r, after):
+		s, why = nil, CauseWorthless
 	}
 	if !m.send(r, s, r.deadline) {
-		m.finish(r)
+		m.finish(r, why)
 	}
 }
 
@@ -546,7 +557,7 @@
 	case e.Over && !r.done:
 		m.close(r)
 	case !r.done && r.out == 0 && r.unheld:
-		m.finish(r)
+		m.finish(r, CauseBodySpent)
 	case !r.done && r.out == 0:
 		m.again(r, a.mayRun || m.crowd && e.Code == Full)
 	}
@@ -560,8 +571,12 @@
 
 // again makes a further attempt, as strictly as a first one: guards against a storm at full servers.
 func (m *Module) again(r *request, costly bool) {
-	if m.worthless(r, 0) || costly && m.budget < 1 {
-		m.finish(r)
+	if m.worthless(r, 0) {
+		m.finish(r, CauseWorthless)
+		return
+	}
+	if costly && m.budget < 1 {
+		m.finish(r, CauseRetryBudget)
 		return
 	}
 	if costly {
@@ -593,7 +608,7 @@
 	open := m.open[:0]
 	for _, r := range m.open {
 		if !r.done && !r.started && m.now >= r.deadline {
-			m.finish(r) // guards against an outcome that never comes
+			m.finish(r, CauseDeadline) // guards against an outcome that never comes
 		}
 		if !r.done {
 			open = append(open, r)
--- a/balance/behaviour_test.go
+++ b/balance/behaviour_test.go
@@ -248,6 +248,32 @@
 	}
 }
 
+// A keyed request is repeated only while a process that is held up after the choice would
+// still write the repeat inside the window.
+func TestARepeatLeavesTimeForAHoldUp(t *testing.T) {
+	const window, holdUp = 600 * time.Millisecond, 150 * time.Millisecond
+	for failsAfter, repeated := range map[time.Duration]bool{400 * time.Millisecond: true, 500 * time.Millisecond: false} {
+		s := rigSettings()
+		s.HoldUp = holdUp
+		s.Classes = []balance.Class{{Name: "keyed", Worth: 1, Aim: 1500 * time.Millisecond, Deadline: 2 * time.Second,
+			Effect: balance.Keyed, KeyScope: balance.ScopeAll, DedupWindow: window}}
+		r := newRig(t, s, 3)
+		first := true
+		r.delay = func(balance.ServerID) (time.Duration, balance.OutcomeCode) {
+			if first {
+				first = false
+				return failsAfter, balance.Reset
+			}
+			return time.Millisecond, balance.OK
+		}
+		r.run(5*time.Millisecond, 200, "keyed")
+		r.run(time.Second, 0, "keyed")
+		if sends := r.sent[1] + r.sent[2] + r.sent[3]; sends > 1 != repeated {
+			t.Errorf("lost %v after the sending, window %v, hold-up %v: %d sends", failsAfter, window, holdUp, sends)
+		}
+	}
+}
+
 // Quiet traffic is not refused, also with many servers and few requests.
 func TestQuietTrafficIsServed(t *testing.T) {
 	s := rigSettings()
--- /dev/null
+++ b/cmd/ivylock/log_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"bufio"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"barrowscale/internal/nodetest"
+)
+
+// pipe gives both ends of a pipe that holds one page.
+func pipe(t *testing.T) (read, write *os.File) {
+	t.Helper()
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		read.Close()
+		write.Close()
+	})
+	const setPipeSize = 1031 // F_SETPIPE_SZ
+	if _, _, e := syscall.Syscall(syscall.SYS_FCNTL, write.Fd(), setPipeSize, uintptr(os.Getpagesize())); e != 0 {
+		t.Fatal(e)
+	}
+	return read, write
+}
+
+// isUp waits until the node at an address serves; false if it does not.
+func isUp(addr string) bool {
+	client := http.Client{Timeout: time.Second}
+	for end := time.Now().Add(nodetest.Patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if resp, err := client.Get("http://" + addr + "/up"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// A node whose log nobody reads starts, serves, reloads and ends as any other.
+func TestALogThatNobodyReadsHoldsUpNothing(t *testing.T) {
+	t.Parallel()
+	_, log := pipe(t)
+	if _, err := log.Write(make([]byte, os.Getpagesize())); err != nil { // it is full
+		t.Fatal(err)
+	}
+	addr := nodetest.FreeAddr(t)
+	c := command(write(t, strings.Replace(nodetest.ConfigJSON(nodetest.ClosedAddr(t)), `"listen":"127.0.0.1:0"`, `"listen":"`+addr+`"`, 1)))
+	c.Env = append(c.Env, "GORACE=atexit_sleep_ms=0")
+	c.Stderr = log
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Process.Kill() })
+	if !isUp(addr) {
+		t.Fatal("it does not serve")
+	}
+	for range 5 {
+		c.Process.Signal(syscall.SIGHUP)
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(nodetest.Patience):
+		t.Error("it has not ended")
+	}
+}
+
+// A node whose log has no reader any more goes on.
+func TestALogThatIsGoneEndsNothing(t *testing.T) {
+	t.Parallel()
+	log, theirs := pipe(t)
+	c := command(write(t, nodetest.ConfigJSON(nodetest.ClosedAddr(t))))
+	c.Env = append(c.Env, "GORACE=atexit_sleep_ms=0")
+	c.Stderr = theirs
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Process.Kill() })
+	theirs.Close()
+	addr := ""
+	for lines := bufio.NewScanner(log); addr == "" && lines.Scan(); {
+		_, addr, _ = strings.Cut(lines.Text(), " serves on ")
+	}
+	log.Close()
+	c.Process.Signal(syscall.SIGHUP) // which is logged
+	time.Sleep(50 * time.Millisecond)
+	if !isUp(addr) {
+		t.Error("it serves no more")
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	if err := c.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -15,13 +15,16 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"barrowscale/internal/console"
 	"barrowscale/internal/front"
 	"barrowscale/internal/handover"
+	"barrowscale/internal/logsink"
 	"barrowscale/internal/node"
 	"barrowscale/internal/operator"
 	"barrowscale/internal/strict"
+	"barrowscale/internal/wallclock"
 )
 
 const heapPart = 0.7 // of the memory limit: the rest is for stacks, the kernel's buffers and slack
@@ -39,6 +42,9 @@
 }
 
 func run() error {
+	if err := wallclock.Check(); err != nil {
+		return &node.ConfigError{Text: err.Error()}
+	}
 	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read after it
 	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := node.LoadConfig(os.Getenv("PROXY_CONFIG"))
@@ -59,13 +65,15 @@
 		return fmt.Errorf("clients: %w", err)
 	}
 	n := node.New(cfg)
+	// A log that nobody reads any more must neither end the node nor hold it up.
+	lines := logsink.Stderr(&n.Count().LogLinesDropped)
+	log.SetOutput(lines)
+	defer lines.Flush(logsink.ExitTime)
 	var shared *handover.Files
 	if inherited { // two processes of this node may run beside one another
-		if shared, err = handover.Open(os.TempDir(), cfg.Name); err != nil {
-			return err
+		if shared = join(n, cfg.Name); shared != nil {
+			defer shared.Close()
 		}
-		defer shared.Close()
-		takeOver(n, shared)
 	}
 	if at := os.Getenv("PROXY_CONSOLE"); at != "" {
 		cfg.Console = at
@@ -90,15 +98,20 @@
 		}
 	}()
 	f := front.New(n, listener, cfg.Settings.Classes, cfg.ClientSockets(), cfg.BodyRoom())
-	f.Shared = inherited
-	if shared != nil {
-		full := handover.Usage{Clients: cfg.ClientSockets(), Backends: cfg.BackendSockets()}
-		go shared.Follow(context.Background(), full, func() handover.Usage {
-			return handover.Usage{Clients: f.Connections(), Backends: n.Backends().Open()}
-		}, func(most handover.Usage, alone bool) {
-			f.SetMost(most.Clients)
-			n.Backends().SetMost(most.Backends)
-		})
+	if inherited {
+		sharing, end := context.WithCancel(context.Background())
+		followed := make(chan struct{})
+		go func() {
+			defer close(followed)
+			share(sharing, shared, n, f, handover.Usage{Clients: cfg.ClientSockets(), Backends: cfg.BackendSockets()}, cfg.Name)
+		}()
+		defer func() {
+			end()
+			select {
+			case <-followed:
+			case <-time.After(shareEnd): // guards against a disk that keeps the process from ending
+			}
+		}()
 	}
 	return n.Run(ctx, f)
 }
--- a/cmd/ivylock/main_test.go
+++ b/cmd/ivylock/main_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"syscall"
 	"testing"
+
+	"barrowscale/internal/wallclock"
 )
 
 // TestMain lets the tests start this program as a process of its own.
@@ -143,3 +145,14 @@
 		t.Errorf("it ended with %v", err)
 	}
 }
+
+// The ordinary build injects no faults, and does not pass over the wish for them.
+func TestAnOrdinaryBuildRefusesFaults(t *testing.T) {
+	c := command(write(t, "{}"))
+	c.Env = append(c.Env, wallclock.StepsVariable+"=1s:1h")
+	out, err := c.CombinedOutput()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != 2 || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), wallclock.StepsVariable) {
+		t.Errorf("it ended with %v and said %q", err, out)
+	}
+}
--- a/cmd/ivylock/upgrade_test.go
+++ b/cmd/ivylock/upgrade_test.go
@@ -518,3 +518,38 @@
 	}
 	t.Logf("the slowest of 20 answers took %v", slowest)
 }
+
+// Where the folder that the processes of a node share can't be written they start and serve all
+// the same, and join one another once it can.
+func TestAFolderThatCantBeWrittenHoldsUpNobody(t *testing.T) {
+	p := newPlatform(t)
+	p.folder = filepath.Join(t.TempDir(), "missing")
+	one := p.up()
+	two := p.up()
+	for i := range 5 {
+		if err := p.ask("order", fmt.Sprint("order-", i)); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := os.Mkdir(p.folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	joined := func() int {
+		files, err := filepath.Glob(filepath.Join(p.folder, "ivylock-*.run"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(files)
+	}
+	for end := time.Now().Add(nodetest.Patience); joined() < 2; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d of two have joined", joined())
+		}
+	}
+	for _, proc := range []*process{one, two} {
+		proc.end(t, syscall.SIGTERM)
+	}
+	if left := joined(); left != 0 {
+		t.Errorf("%d files are left behind", left)
+	}
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -13,6 +12,7 @@
 	"barrowscale/balance"
 	"barrowscale/internal/bounded"
 	"barrowscale/internal/loadreport"
+	"barrowscale/internal/neterr"
 )
 
 const (
@@ -53,7 +53,16 @@
 	Start  []byte // read already
 	Length int64  // of all; -1: not known before it ends
 	answer *bounded.Answer
-	ended  chan error
+	ended  func(error)
+}
+
+// NewStream makes a stream of an answer; ended is told how the passing on ended.
+func NewStream(answer *bounded.Answer, ended func(error)) *Stream {
+	s := &Stream{Length: -1, answer: answer, ended: ended}
+	if answer != nil {
+		s.Start, s.Length = answer.Start, answer.Length
+	}
+	return s
 }
 
 // Read reads what comes after Start. The error is io.EOF at the answer's
@@ -62,7 +71,7 @@
 
 // Done tells how the passing on ended: nil if all of it has been read, else
 // what kept it from that. It is called once.
-func (s *Stream) Done(err error) { s.ended <- err }
+func (s *Stream) Done(err error) { s.ended(err) }
 
 // ErrUnread is for Done: the client takes no more, through no fault of the
 // backend.
@@ -76,11 +85,10 @@
 		return Result{Code: balance.Moot} // no descriptor left: no fault of the backend
 	}
 	if c == nil {
-		d := net.Dialer{Timeout: p.connectTimeout}
-		nc, err := d.DialContext(ctx, "tcp", addr)
+		nc, err := p.connect(ctx, addr)
 		if err != nil {
 			p.drop(nil)
-			if called(ctx) {
+			if called(ctx) || neterr.Exhausted(err) { // no fault of the backend
 				return Result{Code: balance.Moot}
 			}
 			return Result{Code: balance.ConnectFailed}
@@ -153,9 +161,9 @@
 	case a.StatusCode == http.StatusOK && a.Whole:
 		res.Code = balance.OK
 	case a.StatusCode == http.StatusOK && call.Begun != nil:
-		s := &Stream{Start: a.Start, Length: a.Length, answer: a, ended: make(chan error, 1)}
-		call.Begun(s)
-		err := <-s.ended
+		ended := make(chan error, 1)
+		call.Begun(NewStream(a, func(err error) { ended <- err }))
+		err := <-ended
 		switch {
 		case err == nil:
 			res.Code = balance.OK
@@ -235,7 +243,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.connectTimeout+probeTimeout)
 	defer cancel()
 	res := p.Exchange(ctx, b, Call{Request: NewRequest(http.MethodGet, "/metrics/load", nil),
-		MayWrite: func() bool { return !b.Closed.Load() }})
+		MayWrite: func() bool { return !b.Closed() }})
 	if res.Code == balance.OK {
 		res.Report = loadreport.Parse(string(res.Body))
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/guard"
 	"barrowscale/internal/bounded"
 )
 
@@ -27,16 +28,35 @@
 // connections are the pool's.
 type Server struct {
 	ID        balance.ServerID
-	Name      string       // discovery's
-	Gone      bool         // not on the list any more
-	Out       int          // attempts and probes whose outcome is to come
-	Closed    atomic.Bool  // draining or gone: nothing new may be sent
-	Answered  balance.Time // when it last answered an attempt or a probe; the loop's
+	Name      string                    // discovery's
+	Gone      bool                      // not on the list any more
+	Out       int                       // attempts and probes whose outcome is to come
+	Place     guard.Place               // the loop's
+	closed    atomic.Pointer[time.Time] // since when it drains or is gone: nothing new may be sent; nil: neither
+	Answered  balance.Time              // when it last answered an attempt or a probe; the loop's
 	addr      string
 	startedAt balance.Time
 	idle      []*conn // the warmest last
 }
 
+// Close notes that the server drains or is gone: nothing new may be sent. Open takes it
+// back.
+func (b *Server) Close(now time.Time) { b.closed.CompareAndSwap(nil, &now) }
+
+// Open notes that the server may be used.
+func (b *Server) Open() { b.closed.Store(nil) }
+
+// Closed tells whether nothing new may be sent.
+func (b *Server) Closed() bool { return b.closed.Load() != nil }
+
+// ClosedAt tells since when; zero if the server may be used.
+func (b *Server) ClosedAt() time.Time {
+	if at := b.closed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // conn is a connection to a server; it carries one request at a time.
 type conn struct {
 	net.Conn
@@ -51,6 +71,11 @@
 // Pool keeps the connections to all servers within one budget. Its methods may
 // be called from several goroutines.
 type Pool struct {
+	// OnDialError is told of each connection that did not come up, if it is not nil. It
+	// is set before the first exchange, and must not wait.
+	OnDialError func(error)
+
+	dial                     dialer
 	connectTimeout, idleTime time.Duration
 	settle                   time.Duration
 	spoiltAt                 time.Time // when a server last sent what was no answer, or came behind one
@@ -63,7 +88,7 @@
 // connectTimeout to come up; one that has been idle for a little less than
 // connIdle, after which servers may close it, is closed.
 func NewPool(most int, connectTimeout, connIdle time.Duration) *Pool {
-	return &Pool{connectTimeout: connectTimeout, settle: settleTime, most: most, servers: map[*Server]bool{},
+	return &Pool{dial: netDialer(connectTimeout), connectTimeout: connectTimeout, settle: settleTime, most: most, servers: map[*Server]bool{},
 		idleTime: max(connIdle-idleMargin, connIdle/2)}
 }
 
@@ -208,7 +233,7 @@
 func (p *Pool) put(b *Server, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if b.Closed.Load() || c.addr != b.addr || c.startedAt != b.startedAt {
+	if b.Closed() || c.addr != b.addr || c.startedAt != b.startedAt {
 		c.Close()
 		p.open--
 		return
--- a/internal/bounded/quiet.go
+++ b/internal/bounded/quiet.go
@@ -21,6 +21,13 @@
 	return err == nil && n > 0
 }
 
+// Ended tells whether the other side has closed or reset a connection, and nothing that is
+// unread came before that. It does not wait either.
+func Ended(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+}
+
 var errNoSocket = errors.New("no socket")
 
 func peek(c net.Conn) (n int, err error) {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"barrowscale/internal/accept"
 	"barrowscale/maintenance"
 )
 
@@ -50,6 +51,13 @@
 	FleetRecord(ctx context.Context) ([]byte, error)
 }
 
+// History is a node that keeps its latest events.
+type History interface {
+	// Events gives the latest events as text, a line each; of one request alone
+	// if its id is not empty.
+	Events(request string) []byte
+}
+
 // ErrOff says that a part of the node is switched off.
 var ErrOff = errors.New("the section [fleet] of the operator's file is not there: nothing is recorded")
 
@@ -62,10 +70,13 @@
 
 // New makes a console on a listener.
 func New(l net.Listener, n Node) *Server {
-	s := &Server{node: n, list: &listener{Listener: l, open: map[*conn]bool{}}}
+	s := &Server{node: n, list: &listener{Listener: accept.New(l, nil), open: map[*conn]bool{}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/status", s.get(s.status))
 	mux.HandleFunc("/status/metrics", s.get(s.figures))
+	if h, is := n.(History); is {
+		mux.HandleFunc("/status/events", s.get(events(h)))
+	}
 	mux.HandleFunc("/maintenance/enter", s.put(true))
 	mux.HandleFunc("/maintenance/exit", s.put(false))
 	if f, is := n.(Fleet); is {
@@ -146,6 +157,13 @@
 	w.Write(s.node.Figures())
 }
 
+func events(h History) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Write(h.Events(r.URL.Query().Get("id")))
+	}
+}
+
 func (s *Server) put(out bool) http.HandlerFunc {
 	return only(http.MethodPut, func(w http.ResponseWriter, r *http.Request) {
 		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxID))
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -11,9 +11,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"barrowscale/internal/nodetest"
 	"barrowscale/maintenance"
 )
 
@@ -26,6 +28,9 @@
 
 func (f *fakeNode) Ready() bool     { return f.up.Load() }
 func (f *fakeNode) Figures() []byte { return []byte("app.relayed:3|c\n") }
+func (f *fakeNode) Events(request string) []byte {
+	return []byte("events of " + request + "\n")
+}
 func (f *fakeNode) Maintain(_ context.Context, id string, out bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -86,6 +91,8 @@
 	}{
 		{get("/status"), 200, ""},
 		{get("/status/metrics"), 200, "app.relayed:3|c\n"},
+		{get("/status/events"), 200, "events of \n"},
+		{get("/status/events?id=a%20b"), 200, "events of a b\n"},
 		{put("/maintenance/enter", "s-1"), 200, ""},
 		{put("/maintenance/exit", "s-1\n"), 200, ""},
 		{"PUT /maintenance/enter HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ns-\r\n1\r\n1\r\n0\r\n\r\n", 200, ""},
@@ -142,3 +149,23 @@
 	}
 	t.Logf("the slowest answer took %v", slowest)
 }
+
+// Accepts that fail do not end the console.
+func TestAcceptsThatFailDoNotEndTheConsole(t *testing.T) {
+	l := nodetest.NewFailingListener(t, 10)
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.EPROTO, syscall.EPERM} {
+		l.Errors <- errno
+	}
+	s := New(l, &fakeNode{})
+	defer s.Close()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve() }()
+	if status, _, _ := call(t, l.Addr().String(), "GET /status/metrics HTTP/1.1\r\nHost: h\r\n\r\n"); status != http.StatusOK {
+		t.Errorf("got %d", status)
+	}
+	select {
+	case err := <-ended:
+		t.Errorf("it ended with %v", err)
+	default:
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -41,6 +41,9 @@
 	Reset      bool
 	Instances  []Entry
 	Skipped    int // entries that could not be read
+	// Date is discovery's own time when it answered (HTTP's Date, whole seconds);
+	// zero if it told none.
+	Date time.Time
 }
 
 // Lifecycles are discovery's words for what the decision module knows.
@@ -135,5 +138,8 @@
 	if err != nil {
 		return List{}, Unreadable
 	}
+	if date, err := http.ParseTime(resp.Header.Get("Date")); err == nil {
+		list.Date = date
+	}
 	return list, NoFailure
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -247,3 +247,34 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// The time that discovery words in an answer comes with the list; one that it does not word, or
+// words badly, is none.
+func TestDiscoverysOwnTimeIsTold(t *testing.T) {
+	for date, want := range map[string]time.Time{"Wed, 02 Dec 2026 12:00:00 GMT": time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC), "noon": {}, "": {}} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header()["Date"] = nil
+			if date != "" {
+				w.Header().Set("Date", date)
+			}
+			fmt.Fprint(w, `{"generation":9,"reset":true,"instances":[]}`)
+		}))
+		heard := make(chan News, 100)
+		d := New(strings.TrimPrefix(server.URL, "http://"), membership.Settings{}, known(0), func(n News) {
+			select {
+			case heard <- n:
+			default:
+			}
+		})
+		select {
+		case n := <-heard:
+			if n.Kind == balance.ListFailed || !n.List.Date.Equal(want) {
+				t.Errorf("%q: %+v", date, n)
+			}
+		case <-time.After(nodetest.Patience):
+			t.Errorf("%q: nothing came", date)
+		}
+		d.Close()
+		server.Close()
+	}
+}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -7,6 +7,10 @@
 	"bytes"
 	"fmt"
 	"sync/atomic"
+
+	"barrowscale/guard"
+	"barrowscale/internal/invariant"
+	"barrowscale/internal/neterr"
 )
 
 // Outcome is how a request ended.
@@ -25,6 +29,37 @@
 
 var names = [Outcomes]string{"fulfilled", "throttled", "faulted"}
 
+// Family is a row of counts that differ in one word, such as the reason for which
+// something was done. Its words are fixed when it is made.
+type Family struct {
+	name   string
+	words  []string
+	counts []atomic.Int64
+}
+
+func newFamily(name string, words []string) Family {
+	return Family{name: name, words: words, counts: make([]atomic.Int64, len(words))}
+}
+
+// Add counts one more of the word with this number; a number that has no word is
+// not counted.
+func (f *Family) Add(number int) {
+	if number >= 0 && number < len(f.counts) {
+		f.counts[number].Add(1)
+	}
+}
+
+// Of gives the count of the word with this number.
+func (f *Family) Of(number int) int64 { return f.counts[number].Load() }
+
+// Word gives the word with this number.
+func (f *Family) Word(number int) string {
+	if number < 0 || number >= len(f.words) {
+		return "unknown"
+	}
+	return f.words[number]
+}
+
 // Set is one process's figures; all start at 0. Its methods may be called from
 // several goroutines.
 type Set struct {
@@ -41,14 +76,87 @@
 	Strangers                                       atomic.Int64 // datagrams from no node, or too long
 	WordsTurnedAway                                 atomic.Int64 // datagrams of nodes that were of no use
 	WordsTaken, WordsMalformed                      atomic.Int64 // of neighbours, that servers leave: acted on; in no known form
+	QuestionsAsked, QuestionsAnswered               atomic.Int64 // to and of neighbours, what changed on the list
 	ReloadsRefused                                  atomic.Int64 // configurations that were malformed or not this node's
 
+	AttemptsEnded     Family       // by outcome, in the order of balance.OutcomeCode
+	AttemptsWithheld  Family       // by guard.Withheld: chosen, and not a byte of them written
+	AttemptsRepeated  atomic.Int64 // attempts that are not the first of their request
+	RequestsTurned    Family       // by Turned: ended without a server's answer
+	ConnectionsClosed Family       // by Closed: of clients
+	ConnectionsOpened atomic.Int64 // of clients
+	LogLinesDropped   atomic.Int64 // as nobody read the log
+	InvariantsBroken  Family       // by invariant.Kind
+	AcceptErrors      Family       // by neterr.Number
+	DialErrors        Family       // the same, of connections to servers
+	DatagramErrors    Family       // the same, of datagrams received and sent
+	RequestsLate      atomic.Int64 // read after a shutdown had closed the listener
+
 	fleet atomic.Pointer[[]Named]
 }
 
+// Turned is why a request was refused or failed without a server's answer.
+type Turned int
+
+// The first ones are those of balance.Cause, in its order.
+const (
+	// TurnedNoServer: no server may take it.
+	TurnedNoServer Turned = iota
+	// TurnedShed: load is shed.
+	TurnedShed
+	// TurnedWorthless: an answer would come too late to be worth anything.
+	TurnedWorthless
+	// TurnedRetryBudget: further attempts have used up their part.
+	TurnedRetryBudget
+	// TurnedDeadline: the client's time is over.
+	TurnedDeadline
+	// TurnedBodySpent: its body can not be sent again.
+	TurnedBodySpent
+	// TurnedEnding: the process ends.
+	TurnedEnding
+	// TurnedDuplicate: its id is that of an open request.
+	TurnedDuplicate
+	// TurnedFull: as many requests are open as may be.
+	TurnedFull
+	// TurnedStale: what the node knows is too old to act on.
+	TurnedStale
+)
+
+var turnedWords = []string{"no_server", "shed", "worthless", "retry_budget", "deadline", "body_spent", "ending", "duplicate_id", "full", "stale"}
+
+// Closed is why a client's connection was closed.
+type Closed int
+
+const (
+	// ClosedByClient: the client closed or reset it.
+	ClosedByClient Closed = iota
+	// ClosedTimeout: it was silent for too long.
+	ClosedTimeout
+	// ClosedAnswered: it ended with an answer.
+	ClosedAnswered
+	// ClosedForRoom: it rested, and room was wanted.
+	ClosedForRoom
+	// ClosedDraining: it rested while the process ended.
+	ClosedDraining
+	// ClosedUnanswered: a request on it had no answer.
+	ClosedUnanswered
+)
+
+var closedWords = []string{"by_client", "timeout", "answered", "for_room", "draining", "unanswered"}
+
+var outcomeWords = []string{"ok", "server_error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+
 // New makes the figures of a node that serves these classes.
 func New(classes []string) *Set {
-	s := &Set{order: classes, classes: map[string]*[Outcomes]atomic.Int64{}}
+	s := &Set{order: classes, classes: map[string]*[Outcomes]atomic.Int64{},
+		AttemptsEnded:     newFamily("attempts.ended", outcomeWords),
+		AttemptsWithheld:  newFamily("attempts.withheld", guard.WithheldWords),
+		RequestsTurned:    newFamily("requests.turned_down", turnedWords),
+		ConnectionsClosed: newFamily("connections.closed", closedWords),
+		InvariantsBroken:  newFamily("invariants.broken", invariant.Words),
+		AcceptErrors:      newFamily("accept.errors", neterr.Words()),
+		DialErrors:        newFamily("dials.errors", neterr.Words()),
+		DatagramErrors:    newFamily("peers.errors", neterr.Words())}
 	for _, c := range classes {
 		s.classes[c] = new([Outcomes]atomic.Int64)
 	}
@@ -96,9 +204,19 @@
 	}{{"relayed", &s.Relayed}, {"lists.unanswered", &s.ListsUnanswered}, {"lists.cut_short", &s.ListsCutShort},
 		{"lists.unreadable", &s.ListsUnreadable}, {"lists.entries_skipped", &s.EntriesSkipped},
 		{"peers.strangers", &s.Strangers}, {"peers.turned_away", &s.WordsTurnedAway},
-		{"peers.withdrawals", &s.WordsTaken}, {"peers.malformed", &s.WordsMalformed}, {"reloads.refused", &s.ReloadsRefused}} {
+		{"peers.withdrawals", &s.WordsTaken}, {"peers.malformed", &s.WordsMalformed},
+		{"peers.questions.asked", &s.QuestionsAsked}, {"peers.questions.answered", &s.QuestionsAnswered}, {"reloads.refused", &s.ReloadsRefused}, {"log.dropped", &s.LogLinesDropped},
+		{"attempts.repeated", &s.AttemptsRepeated}, {"connections.opened", &s.ConnectionsOpened}, {"requests.late", &s.RequestsLate}} {
 		fmt.Fprintf(&b, "app.%s:%d|c\n", c.name, c.value.Load())
 	}
+	for _, f := range []*Family{&s.AttemptsEnded, &s.AttemptsWithheld, &s.RequestsTurned, &s.ConnectionsClosed, &s.InvariantsBroken, &s.AcceptErrors, &s.DialErrors, &s.DatagramErrors} {
+		for i, word := range f.words {
+			if word == "" {
+				continue
+			}
+			fmt.Fprintf(&b, "app.%s.%s:%d|c\n", f.name, word, f.Of(i))
+		}
+	}
 	for _, g := range []struct {
 		name  string
 		value *atomic.Int64
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -1,6 +1,10 @@
 package figures
 
-import "testing"
+import (
+	"testing"
+
+	"barrowscale/guard"
+)
 
 func TestEveryFigureIsThereFromTheStart(t *testing.T) {
 	f := New([]string{"clip", "order"})
@@ -19,7 +23,125 @@
 app.peers.turned_away:0|c
 app.peers.withdrawals:0|c
 app.peers.malformed:0|c
+app.peers.questions.asked:0|c
+app.peers.questions.answered:0|c
 app.reloads.refused:0|c
+app.log.dropped:0|c
+app.attempts.repeated:0|c
+app.connections.opened:0|c
+app.requests.late:0|c
+app.attempts.ended.ok:0|c
+app.attempts.ended.server_error:0|c
+app.attempts.ended.full:0|c
+app.attempts.ended.timed_out:0|c
+app.attempts.ended.connect_failed:0|c
+app.attempts.ended.reset:0|c
+app.attempts.ended.cancelled:0|c
+app.attempts.ended.moot:0|c
+app.attempts.withheld.over:0|c
+app.attempts.withheld.cancelled:0|c
+app.attempts.withheld.server_draining:0|c
+app.attempts.withheld.window_over:0|c
+app.attempts.withheld.late:0|c
+app.attempts.withheld.stood_still:0|c
+app.attempts.withheld.body_spent:0|c
+app.requests.turned_down.no_server:0|c
+app.requests.turned_down.shed:0|c
+app.requests.turned_down.worthless:0|c
+app.requests.turned_down.retry_budget:0|c
+app.requests.turned_down.deadline:0|c
+app.requests.turned_down.body_spent:0|c
+app.requests.turned_down.ending:0|c
+app.requests.turned_down.duplicate_id:0|c
+app.requests.turned_down.full:0|c
+app.requests.turned_down.stale:0|c
+app.connections.closed.by_client:0|c
+app.connections.closed.timeout:0|c
+app.connections.closed.answered:0|c
+app.connections.closed.for_room:0|c
+app.connections.closed.draining:0|c
+app.connections.closed.unanswered:0|c
+app.invariants.broken.unanswered:0|c
+app.invariants.broken.answered_late:0|c
+app.invariants.broken.written_after_end:0|c
+app.invariants.broken.written_after_deadline:0|c
+app.invariants.broken.written_to_draining:0|c
+app.invariants.broken.written_while_ending:0|c
+app.invariants.broken.repeated_unsafely:0|c
+app.invariants.broken.refused_unsafely:0|c
+app.invariants.broken.time_overstated:0|c
+app.accept.errors.ECONNABORTED:0|c
+app.accept.errors.EMFILE:0|c
+app.accept.errors.ENFILE:0|c
+app.accept.errors.ENOBUFS:0|c
+app.accept.errors.ENOMEM:0|c
+app.accept.errors.EADDRNOTAVAIL:0|c
+app.accept.errors.EADDRINUSE:0|c
+app.accept.errors.ENETUNREACH:0|c
+app.accept.errors.ENETDOWN:0|c
+app.accept.errors.EHOSTUNREACH:0|c
+app.accept.errors.EPROTO:0|c
+app.accept.errors.EPERM:0|c
+app.accept.errors.EACCES:0|c
+app.accept.errors.EAGAIN:0|c
+app.accept.errors.EINTR:0|c
+app.accept.errors.ETIMEDOUT:0|c
+app.accept.errors.ECONNREFUSED:0|c
+app.accept.errors.ECONNRESET:0|c
+app.accept.errors.EPIPE:0|c
+app.accept.errors.EMSGSIZE:0|c
+app.accept.errors.EIO:0|c
+app.accept.errors.ENOSPC:0|c
+app.accept.errors.EROFS:0|c
+app.accept.errors.other:0|c
+app.dials.errors.ECONNABORTED:0|c
+app.dials.errors.EMFILE:0|c
+app.dials.errors.ENFILE:0|c
+app.dials.errors.ENOBUFS:0|c
+app.dials.errors.ENOMEM:0|c
+app.dials.errors.EADDRNOTAVAIL:0|c
+app.dials.errors.EADDRINUSE:0|c
+app.dials.errors.ENETUNREACH:0|c
+app.dials.errors.ENETDOWN:0|c
+app.dials.errors.EHOSTUNREACH:0|c
+app.dials.errors.EPROTO:0|c
+app.dials.errors.EPERM:0|c
+app.dials.errors.EACCES:0|c
+app.dials.errors.EAGAIN:0|c
+app.dials.errors.EINTR:0|c
+app.dials.errors.ETIMEDOUT:0|c
+app.dials.errors.ECONNREFUSED:0|c
+app.dials.errors.ECONNRESET:0|c
+app.dials.errors.EPIPE:0|c
+app.dials.errors.EMSGSIZE:0|c
+app.dials.errors.EIO:0|c
+app.dials.errors.ENOSPC:0|c
+app.dials.errors.EROFS:0|c
+app.dials.errors.other:0|c
+app.peers.errors.ECONNABORTED:0|c
+app.peers.errors.EMFILE:0|c
+app.peers.errors.ENFILE:0|c
+app.peers.errors.ENOBUFS:0|c
+app.peers.errors.ENOMEM:0|c
+app.peers.errors.EADDRNOTAVAIL:0|c
+app.peers.errors.EADDRINUSE:0|c
+app.peers.errors.ENETUNREACH:0|c
+app.peers.errors.ENETDOWN:0|c
+app.peers.errors.EHOSTUNREACH:0|c
+app.peers.errors.EPROTO:0|c
+app.peers.errors.EPERM:0|c
+app.peers.errors.EACCES:0|c
+app.peers.errors.EAGAIN:0|c
+app.peers.errors.EINTR:0|c
+app.peers.errors.ETIMEDOUT:0|c
+app.peers.errors.ECONNREFUSED:0|c
+app.peers.errors.ECONNRESET:0|c
+app.peers.errors.EPIPE:0|c
+app.peers.errors.EMSGSIZE:0|c
+app.peers.errors.EIO:0|c
+app.peers.errors.ENOSPC:0|c
+app.peers.errors.EROFS:0|c
+app.peers.errors.other:0|c
 app.open_requests:0|g
 app.registry_entries:0|g
 app.out_of_rotation:0|g
@@ -36,6 +158,24 @@
 	}
 }
 
+// Each reason has its word, and a number that has none is not counted.
+func TestAFamilyCountsByItsWords(t *testing.T) {
+	f := New(nil)
+	f.AttemptsWithheld.Add(int(guard.WithheldBodySpent))
+	f.RequestsTurned.Add(int(TurnedStale))
+	f.ConnectionsClosed.Add(int(ClosedUnanswered))
+	for family, last := range map[*Family]int{&f.AttemptsWithheld: int(guard.WithheldBodySpent), &f.RequestsTurned: int(TurnedStale), &f.ConnectionsClosed: int(ClosedUnanswered)} {
+		if family.Of(last) != 1 || last != len(family.words)-1 {
+			t.Errorf("%s: the last word is %q, counted %d times", family.name, family.Word(last), family.Of(last))
+		}
+		family.Add(-1)
+		family.Add(last + 1)
+		if family.Word(last+1) != "unknown" {
+			t.Errorf("%s has a word too many", family.name)
+		}
+	}
+}
+
 func BenchmarkEnded(b *testing.B) {
 	f := New([]string{"clip", "order", "tag", "cut"})
 	b.ReportAllocs()
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -196,16 +196,16 @@
 	}
 }
 
-// discard reads and forgets what still comes after an early answer, for a
-// while: guards against an answer that is lost because its connection was
+// discard reads and forgets what still comes after an early answer, until a
+// time: guards against an answer that is lost because its connection was
 // closed on a client that still writes.
-func (u *upload) discard() {
+func (u *upload) discard(until time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.done || u.failed != nil || u.ended.Load() {
 		return
 	}
-	u.c.SetReadDeadline(time.Now().Add(lingerTime))
+	u.c.SetReadDeadline(until)
 	io.Copy(io.Discard, io.LimitReader(u.body, bounded.MaxLength))
 	u.failed = os.ErrDeadlineExceeded
 }
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -16,7 +16,10 @@
 	"testing"
 	"time"
 
+	"barrowscale/guard"
 	"barrowscale/internal/bounded"
+	"barrowscale/internal/eventlog"
+	"barrowscale/internal/figures"
 	"barrowscale/internal/node"
 	"barrowscale/internal/nodetest"
 )
@@ -121,7 +124,7 @@
 			n.stop()
 			wait(t, "the drain goes on", func() bool { return n.front.draining.Load() })
 			<-n.front.clients.closed
-			n.front.clients.endResting(time.Now().Add(time.Minute))
+			n.front.clients.endIdle(time.Now().Add(time.Minute))
 		case "close":
 			c.Close()
 			select {
@@ -186,6 +189,14 @@
 }
 
 func startHeld(t *testing.T, cfg *node.Config) *held {
+	t.Helper()
+	h := startHeldUnchecked(t, cfg)
+	t.Cleanup(func() { h.stop(); <-h.Done(); h.keptInvariants(t) })
+	return h
+}
+
+// startHeldUnchecked starts one that may break invariants.
+func startHeldUnchecked(t *testing.T, cfg *node.Config) *held {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -195,7 +206,7 @@
 	h := &held{running: &running{Node: node.New(cfg), url: "http://" + l.Addr().String(), stop: stop, ended: make(chan error, 1)},
 		reached: make(chan net.Conn, 1), let: make(chan bool)}
 	h.front = New(h.Node, l, cfg.Settings.Classes, cfg.ClientSockets(), cfg.BodyRoom())
-	h.front.AcceptMore = 0
+	h.SetSchedule(quickSchedule)
 	track := h.front.server.ConnState
 	h.front.server.ConnState = func(c net.Conn, s http.ConnState) {
 		if h.armed.CompareAndSwap(int64(s)+1, 0) {
@@ -243,7 +254,7 @@
 			} else {
 				h.stop()
 				wait(t, "the drain goes on", func() bool { return h.front.draining.Load() })
-				h.front.clients.endResting(time.Now().Add(time.Minute))
+				h.front.clients.endIdle(time.Now().Add(time.Minute))
 			}
 			close(h.let)
 			resp, err := http.ReadResponse(r, nil)
@@ -296,7 +307,7 @@
 	t.Parallel()
 	b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.Reply(c, "200 OK", "served") })
 	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
-	n.front.AcceptMore = idleSpare * 3 / 4
+	n.SetSchedule(guard.Schedule{Accept: idleSpare * 3 / 4, Intake: idleSpare, Answer: 2 * idleSpare, End: 2 * idleSpare})
 	for _, id := range []string{"rests", "is let in by an accept that had room", "waits"} {
 		c := dial(t, n.url)
 		io.WriteString(c, get(strings.ReplaceAll(id, " ", "-")))
@@ -321,8 +332,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conns := newClientConns(2)
-	conns.Listener = l
+	conns := newClientConns(l, 2, figures.New(nil), eventlog.New(), nil)
 	defer conns.Close()
 	theirs := dial(t, l.Addr().String())
 	got, err := conns.Accept()
@@ -332,7 +342,7 @@
 	ours := got.(*client)
 	conns.track(ours, http.StateNew)
 	conns.track(ours, http.StateActive)
-	if ours.endSilent() {
+	if ours.endSilent(figures.ClosedDraining, true) {
 		t.Error("ended with a request open")
 	}
 	conns.track(ours, http.StateIdle)
@@ -366,8 +376,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conns := newClientConns(2)
-	conns.Listener = l
+	conns := newClientConns(l, 2, figures.New(nil), eventlog.New(), nil)
 	defer conns.Close()
 	theirs := dial(t, l.Addr().String())
 	got, err := conns.Accept()
--- /dev/null
+++ b/internal/front/events_test.go
@@ -0,0 +1,80 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"barrowscale/internal/nodetest"
+)
+
+// What happened to a request can be read afterwards: its connection, each attempt, why it
+// ended as it did.
+func TestTheHistoryOfARequestIsKept(t *testing.T) {
+	t.Parallel()
+	b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Request-Id") == "reset" {
+			return false
+		}
+		return nodetest.Reply(c, "200 OK", "served")
+	})
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
+	for id, want := range map[string][]string{
+		"served": {"request read", "attempt started", "attempt written", "attempt ended", "request ended"},
+		"reset":  {"request read", "attempt started", "attempt written", "attempt ended", "request ended"},
+	} {
+		status, _, _ := n.mustAsk(t, "order", id, 3*time.Second)
+		text := string(n.Events(id))
+		for _, mark := range want {
+			if !strings.Contains(text, mark+fmt.Sprintf(" request=%q", id)) {
+				t.Errorf("%s: no %q in\n%s", id, mark, text)
+			}
+		}
+		reason := map[string]string{"served": `reason="ok"`, "reset": `reason="reset"`}[id]
+		if !strings.Contains(text, reason) || !strings.Contains(text, fmt.Sprintf("status=%d", status)) {
+			t.Errorf("%s: neither %s nor its status %d in\n%s", id, reason, status, text)
+		}
+	}
+	text := string(n.Figures())
+	for _, figure := range []string{"app.attempts.ended.ok:1|c", "app.attempts.ended.reset:1|c", "app.requests.turned_down.no_server:1|c", "app.attempts.repeated:0|c"} {
+		if !strings.Contains(text, figure) {
+			t.Errorf("no %s in\n%s", figure, text)
+		}
+	}
+}
+
+// The end of each connection is counted by its reason.
+func TestTheEndsOfConnectionsAreCounted(t *testing.T) {
+	t.Parallel()
+	b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.Reply(c, "200 OK", "served") })
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
+	has := func(figure string) func() bool {
+		return func() bool { return strings.Contains(string(n.Figures()), figure) }
+	}
+	serve := func(id, more string) net.Conn {
+		c := dial(t, n.url)
+		io.WriteString(c, strings.Replace(get(id), "\r\n\r\n", "\r\n"+more+"\r\n", 1))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%s: %v, %v", id, resp, err)
+		}
+		return c
+	}
+	serve("answered", "Connection: close\r\n")
+	wait(t, "one that ended with its answer", has("app.connections.closed.answered:1|c"))
+	serve("left", "").Close()
+	wait(t, "one whose client left", has("app.connections.closed.by_client:1|c"))
+	serve("silent", "") // for clientIdle
+	wait(t, "one that was silent", has("app.connections.closed.timeout:1|c"))
+	serve("rests", "")
+	n.stop()
+	wait(t, "one that rested as the process ended", has("app.connections.closed.draining:1|c"))
+	if !has("app.connections.opened:4|c")() || !has("app.connections.closed.unanswered:0|c")() {
+		t.Errorf("the figures say\n%s", n.Figures())
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -16,8 +17,10 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/guard"
 	"barrowscale/internal/backend"
 	"barrowscale/internal/bounded"
+	"barrowscale/internal/eventlog"
 	"barrowscale/internal/figures"
 	"barrowscale/internal/node"
 )
@@ -30,12 +33,7 @@
 	headTime   = 2500 * time.Millisecond // for the head, from the connection's start or the head's first byte
 	clientIdle = 2 * time.Second         // between requests
 
-	acceptTime = 600 * time.Millisecond // after SIGTERM: new connections still come for a while
-	drainSlack = 200 * time.Millisecond // for answers that the node gives at the end of a drain
-
-	closeSlack = 300 * time.Millisecond // before the end of a drain: idle connections are closed from then on
-	restSpare  = 50 * time.Millisecond  // no earlier is one closed at a drain: its next request may be in net/http's buffer
-
+	restSpare  = 50 * time.Millisecond // no earlier is an idle connection closed at a shutdown: its next request may be in net/http's buffer
 	freshSpare = 50 * time.Millisecond // a connection's first request comes right behind it
 	pieceSize  = 32 << 10              // of an answer that is passed on
 	stallTime  = 5 * time.Second       // in which a client must take a piece
@@ -44,32 +42,32 @@
 	roomBatch = 16              // how many are closed at once: a crowd comes by hundreds
 	roomPause = 2 * time.Millisecond
 
+	maxLateLines = 100 // of the log in one shutdown
+
 	kicks     = 20 // at an accept that keeps the listener from closing
 	kickPause = 10 * time.Millisecond
 )
 
 // HTTP is the front. Its methods may be called from several goroutines.
 type HTTP struct {
-	AcceptMore time.Duration // after the word to end: new connections still come for so long
-	Shared     bool          // another process may take what waits at the listener
-	node       *node.Node
-	classes    map[string]balance.Class
-	bodies     *bodies
-	server     *http.Server
-	clients    *clientConns
-	draining   atomic.Bool
-	accepted   chan struct{} // closed when the last connection has been accepted, and is counted
-	drained    chan struct{} // closed when Drain has ended
+	node      *node.Node
+	classes   map[string]balance.Class
+	bodies    *bodies
+	server    *http.Server
+	clients   *clientConns
+	draining  atomic.Bool
+	lateLines atomic.Int64
+	accepted  chan struct{} // closed when the last connection has been accepted, and is counted
+	drained   chan struct{} // closed when Drain has ended
 }
 
 // New makes a front for a node, on a listener, with so many client
 // connections at most and so many bytes for long bodies, all together.
 func New(n *node.Node, listener net.Listener, classes []balance.Class, most int, room int64) *HTTP {
-	f := &HTTP{AcceptMore: acceptTime, node: n, classes: map[string]balance.Class{}, accepted: make(chan struct{}), drained: make(chan struct{}), bodies: newBodies(room), clients: newClientConns(most)}
+	f := &HTTP{node: n, classes: map[string]balance.Class{}, accepted: make(chan struct{}), drained: make(chan struct{}), bodies: newBodies(room), clients: newClientConns(listener, most, n.Count(), n.History(), n.Checker())}
 	for _, c := range classes {
 		f.classes[c.Name] = c
 	}
-	f.clients.Listener = listener
 	// ReadTimeout and WriteTimeout would cut off a request that has been taken.
 	f.server = &http.Server{Handler: f, MaxHeaderBytes: bounded.MaxHead, ReadHeaderTimeout: headTime, IdleTimeout: clientIdle,
 		ConnState:   f.clients.track,
@@ -89,29 +87,72 @@
 	return err
 }
 
-// Drain ends the service. Connections still come for a while and end with their next
-// answer; then those that rest are ended, each only if nothing was read on it since
-// (net/http's Shutdown would close one whose request it has just read, and drop a request
-// that it has read and not yet handed on).
-func (f *HTTP) Drain(end time.Time) error {
+// Drain ends the service by the node's schedule. Connections still come for a while
+// and end with their next answer; then those that are idle are ended, each only if
+// nothing was read on it since (net/http's Shutdown would close one whose request it
+// has just read, and drop a request that it has read and not yet handed on). What
+// has not come whole by the time for answers is refused, and its connection ends.
+func (f *HTTP) Drain() error {
+	schedule := f.node.Schedule()
 	f.draining.Store(true)
 	f.clients.drains()
 	defer close(f.drained)
-	time.Sleep(f.AcceptMore)
+	f.logStep("draining")
+	time.Sleep(time.Until(f.node.TimeOf(schedule.Accept)))
+	f.clients.empty(schedule.Empty())
 	f.clients.Close()
+	f.logStep("listener closed")
+	answer := f.node.TimeOf(schedule.Answer)
 	select {
 	case <-f.accepted: // guards against ending while a connection is accepted and not yet counted
-	case <-time.After(time.Until(end)):
+	case <-time.After(time.Until(answer)):
 	}
-	for time.Now().Before(end.Add(drainSlack)) && f.clients.count() > 0 {
-		// Where the next process has the listener, clients' connections end with their
-		// answers here: one that is closed while it rests may cross a request.
-		if !f.Shared || time.Now().After(end.Add(-closeSlack)) {
-			f.clients.endResting(time.Now().Add(-restSpare))
+	f.endConnections(schedule)
+	f.logStep("ending")
+	return f.server.Close()
+}
+
+// endConnections ends connections as their requests get their answers, until there is
+// none or the schedule allows no more time.
+func (f *HTTP) endConnections(schedule guard.Schedule) {
+	settled := schedule.Answer
+	for f.clients.count() > 0 {
+		f.clients.endIdle(time.Now().Add(-restSpare))
+		if f.sinceSignal() >= schedule.Answer {
+			f.clients.refuseUnfinished(f.node.EndingAnswer())
+		}
+		owed, now := f.clients.owed() > 0, f.sinceSignal()
+		if owed {
+			settled = now
+		}
+		if schedule.MayEnd(now, settled, owed) {
+			return
 		}
 		time.Sleep(roomPause)
 	}
-	return f.server.Close()
+}
+
+// logStep logs a step of a shutdown, with the connections that are open then.
+func (f *HTTP) logStep(name string) {
+	f.node.History().Add(eventlog.Event{Kind: eventlog.PhaseChanged, Reason: name})
+	unused, idle, open := f.clients.census()
+	log.Printf("shutdown: %s %.3f s after the signal; connections without a request %d, idle %d, with an open request %d",
+		name, f.sinceSignal().Seconds(), unused, idle, open)
+}
+
+// sinceSignal is how long ago the process was told to end.
+func (f *HTTP) sinceSignal() time.Duration { return time.Since(f.node.TimeOf(0)) }
+
+// late logs a request that is read after a shutdown has closed the listener, and the
+// history of its connection.
+func (f *HTTP) late(req *taken, conn *client) {
+	f.node.Count().RequestsLate.Add(1)
+	if f.lateLines.Add(1) > maxLateLines {
+		return // it is counted
+	}
+	age, before := conn.past()
+	log.Printf("shutdown: request %.64q read %.3f s after the signal on connection %d, open for %.3f s with %d requests before it",
+		req.ID, f.sinceSignal().Seconds(), conn.id(), age.Seconds(), before)
 }
 
 // Addr is where clients connect.
@@ -162,7 +203,7 @@
 		}
 		return
 	}
-	req, err := f.readRequest(w, r)
+	req, err := f.readRequest(w, r, conn)
 	if err != nil {
 		f.turnDown(w, err)
 		return
@@ -182,12 +223,26 @@
 		rest.over = func() { count.Open.Add(-1) }
 		defer rest.end() // nothing reads from the connection once the handler has returned
 	}
+	if f.node.Phase() >= guard.Finishing {
+		f.late(req, conn)
+	}
+	conn.serves(string(req.ID))
+	f.event(eventlog.RequestRead, req, conn, 0, "")
 	answer := f.node.Take(req.Request)
 	var a node.Answer
 	select {
 	case a = <-answer:
+		f.event(eventlog.RequestEnded, req, conn, a.Status, f.why(a))
+	case <-f.node.Done(): // it may have answered just before
+		select {
+		case a = <-answer:
+		default:
+			a = f.node.EndingAnswer()
+		}
+		f.event(eventlog.RequestEnded, req, conn, a.Status, f.why(a))
 	case <-r.Context().Done(): // the client is gone, or net/http waited for its body in vain
 		f.node.Abandon(req.Request)
+		f.event(eventlog.RequestEnded, req, conn, 0, "abandoned")
 		if rest != nil && rest.broken() != nil {
 			f.turnDown(w, rest.broken())
 			return
@@ -204,10 +259,11 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
 	}
 	early := rest != nil && !rest.complete()
-	if early || f.draining.Load() || f.clients.crowded() || conn.last() {
+	if early || f.draining.Load() && !conn.more() || f.clients.crowded() || conn.last() {
 		w.Header().Set("Connection", "close")
 	}
 	if a.Rest != nil {
+		conn.passes()
 		cut := func() { panic(http.ErrAbortHandler) }
 		if !r.ProtoAtLeast(1, 1) && a.Rest.Length < 0 {
 			// Guards against an answer cut short that looks whole: to HTTP/1.0 it
@@ -224,10 +280,37 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(a.Status)
 	w.Write(a.Body)
+	if rest == nil {
+		f.node.Checker().Answered(string(req.ID), time.Now(), req.Deadline)
+	}
 	if early {
 		http.NewResponseController(w).Flush()
-		rest.discard()
+		rest.discard(f.lingerUntil())
+	}
+}
+
+// lingerUntil is how long what still comes behind an early answer is read.
+func (f *HTTP) lingerUntil() time.Time {
+	until := time.Now().Add(lingerTime)
+	if f.draining.Load() {
+		if end := f.node.TimeOf(f.node.Schedule().End); end.Before(until) {
+			return end
+		}
 	}
+	return until
+}
+
+// event keeps an event of a request.
+func (f *HTTP) event(kind eventlog.Kind, req *taken, conn *client, status int, reason string) {
+	f.node.History().Add(eventlog.Event{Kind: kind, Request: string(req.ID), Connection: conn.id(), Status: status, Reason: reason})
+}
+
+// why words the cause of an answer that no server made.
+func (f *HTTP) why(a node.Answer) string {
+	if a.Status == http.StatusOK {
+		return ""
+	}
+	return f.node.Count().RequestsTurned.Word(int(a.Why))
 }
 
 // turnDown answers a request that the module has not heard of, or whose body
@@ -291,7 +374,7 @@
 }
 
 // readRequest checks a client's request against the protocol.
-func (f *HTTP) readRequest(w http.ResponseWriter, r *http.Request) (*taken, error) {
+func (f *HTTP) readRequest(w http.ResponseWriter, r *http.Request, conn *client) (*taken, error) {
 	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key"} {
 		if len(r.Header.Values(name)) > 1 {
 			return nil, bad("%s stands there twice", name)
@@ -327,7 +410,11 @@
 	if method == http.MethodGet && r.ContentLength != 0 {
 		return nil, bad("a GET has no body")
 	}
+	conn.receives()
 	in, err := f.bodies.read(w, r)
+	if !conn.received() && err == nil {
+		err = net.ErrClosed
+	}
 	if err != nil {
 		return nil, fmt.Errorf("body: %w", err)
 	}
@@ -345,7 +432,10 @@
 			Tenant: r.Header.Get("Tenant"), Key: r.URL.Query().Get("sid"), Patience: time.Until(deadline),
 			WorkHint: time.Duration(hint) * time.Microsecond, HasHint: hasHint,
 			Repeat: r.Header.Get("Client-Retry") == "1"},
-		Method: method, URI: r.RequestURI, Key: key, Body: in.held, Deadline: deadline,
+		Method: method, URI: r.RequestURI, Key: key, Body: in.held, Deadline: deadline, ReadAt: conn.readAt(),
+	}
+	if conn != nil {
+		req.Left = conn.left
 	}
 	if in.rest != nil {
 		in.rest.patience = patience
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -17,7 +17,10 @@
 	"testing"
 	"time"
 
+	"barrowscale/guard"
 	"barrowscale/internal/bounded"
+	"barrowscale/internal/eventlog"
+	"barrowscale/internal/figures"
 	"barrowscale/internal/node"
 	"barrowscale/internal/nodetest"
 )
@@ -31,6 +34,10 @@
 	return c
 }
 
+// quickSchedule closes the listener at once and lets what has been accepted by then be
+// served for as long as the platform's own schedule.
+var quickSchedule = guard.Schedule{Accept: 0, Intake: 3200 * time.Millisecond, Answer: 3200 * time.Millisecond, End: 3400 * time.Millisecond}
+
 type running struct {
 	*node.Node
 	cfg    *node.Config
@@ -51,16 +58,25 @@
 	n := &running{Node: node.New(c), cfg: c, url: "http://" + l.Addr().String(), stop: cancel, ended: make(chan error, 1),
 		client: &http.Client{Transport: &http.Transport{}, Timeout: nodetest.Patience}}
 	n.front = New(n.Node, l, c.Settings.Classes, c.ClientSockets(), c.BodyRoom())
-	n.front.AcceptMore = 0
+	n.SetSchedule(quickSchedule)
 	go func() { n.ended <- n.Run(ctx, n.front) }()
 	t.Cleanup(func() {
 		n.client.CloseIdleConnections()
 		cancel()
 		<-n.Done()
+		n.keptInvariants(t)
 	})
 	return n
 }
 
+// keptInvariants fails a test in which the node found that it had broken an invariant.
+func (n *running) keptInvariants(t testing.TB) {
+	t.Helper()
+	if broken := n.Checker().Total(); broken != 0 {
+		t.Errorf("%d invariants were broken", broken)
+	}
+}
+
 // ask sends a request in the protocol's form.
 func (n *running) ask(ctx context.Context, class, id string, timeout time.Duration) (status int, body string, header http.Header, err error) {
 	method, payload := http.MethodPost, "pay-"+id
@@ -350,7 +366,7 @@
 		return nodetest.Reply(c, "200 OK", "done")
 	})
 	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
-	n.front.AcceptMore = 2 * time.Second
+	n.SetSchedule(guard.Schedule{Accept: 2 * time.Second, Intake: 2 * time.Second, Answer: 3 * time.Second, End: 3 * time.Second})
 	answers := make(chan int, 2)
 	ask := func(id string) {
 		status, _, header, _ := n.ask(context.Background(), "clip", id, time.Minute)
@@ -558,10 +574,10 @@
 func TestDiscoveryIsWatchedAndAskedAgain(t *testing.T) {
 	b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.Reply(c, "200 OK", "new") })
 	calls := make(chan string, 100)
-	number := 0
+	var number atomic.Int64 // calls come on connections of their own
 	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls <- r.URL.RawQuery
-		switch number++; number {
+		switch number.Add(1) {
 		case 1:
 			http.Error(w, "down", http.StatusServiceUnavailable)
 		case 2:
@@ -598,7 +614,7 @@
 // Guards against silent clients that take all descriptors, and against cutting
 // off a connection that has just come and may have a request on its way.
 func TestClientConnectionsOverBudgetCloseTheLongestSilent(t *testing.T) {
-	c := newClientConns(3)
+	c := newClientConns(nil, 3, figures.New(nil), eventlog.New(), nil)
 	var conns []net.Conn
 	for range 4 {
 		conn, other := net.Pipe()
@@ -649,8 +665,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClientConns(2)
-	c.Listener = l
+	c := newClientConns(l, 2, figures.New(nil), eventlog.New(), nil)
 	defer c.Close()
 	var ours []net.Conn
 	for _, text := range []string{"GET / HT", ""} {
@@ -698,7 +713,7 @@
 	c := nodeConfig(t, nodetest.ClosedAddr(t))
 	n := node.New(c)
 	f := New(n, l, c.Settings.Classes, c.ClientSockets(), c.BodyRoom())
-	f.Shared, f.AcceptMore = true, 0
+	n.SetSchedule(quickSchedule)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(ctx, f) }()
--- a/internal/handover/files.go
+++ b/internal/handover/files.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"barrowscale/handoff"
+	"barrowscale/internal/durable"
 )
 
 const (
@@ -27,8 +28,15 @@
 	maxRuns   = 64 // files of processes that are looked at
 
 	exchangeEvery = 50 * time.Millisecond
+
+	lockTime  = time.Second          // for a process that holds the lock to give it back
+	lockPause = 2 * time.Millisecond // between two tries
 )
 
+// errLocked says that another process has held the lock for too long: it stands still, or
+// its disk does.
+var errLocked = errors.New("handover: another process holds the lock")
+
 // ErrTakenOver says that a newer process speaks for the node.
 var ErrTakenOver = errors.New("a newer process has taken over; its console knows")
 
@@ -45,6 +53,9 @@
 	mu        sync.Mutex
 	epoch     uint64                 // of this process's ownership; 0: none yet
 	seen      map[string]os.FileInfo // the files that News has read, by name
+
+	saidMu sync.Mutex // not the other one, which is held while a disk takes its time
+	said   told       // by this process in its own file
 }
 
 // Open joins the processes of a node that share a folder.
@@ -75,17 +86,28 @@
 	return f.run.Close()
 }
 
-// lock keeps other processes from the state until the returned call.
+// lock keeps other processes from the state until the returned call. It waits for a
+// bounded time: guards against a process that never starts, or never ends, because
+// another one stands still while it holds the lock.
 func (f *Files) lock() (unlock func(), err error) {
 	l, err := os.OpenFile(filepath.Join(f.dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	if err := syscall.Flock(int(l.Fd()), syscall.LOCK_EX); err != nil {
-		l.Close()
-		return nil, fmt.Errorf("handover: %w", err)
+	for end := time.Now().Add(lockTime); ; time.Sleep(lockPause) {
+		err := syscall.Flock(int(l.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return func() { l.Close() }, nil
+		}
+		if !errors.Is(err, syscall.EWOULDBLOCK) && !errors.Is(err, syscall.EINTR) {
+			l.Close()
+			return nil, fmt.Errorf("handover: %w", err)
+		}
+		if time.Now().After(end) {
+			l.Close()
+			return nil, errLocked
+		}
 	}
-	return func() { l.Close() }, nil
 }
 
 // read gives a state, nil if there is none.
@@ -112,22 +134,7 @@
 	if err != nil {
 		return err
 	}
-	tmp, err := os.CreateTemp(f.dir, name+".*")
-	if err != nil {
-		return fmt.Errorf("handover: %w", err)
-	}
-	_, err = tmp.Write(raw)
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if end := tmp.Close(); err == nil {
-		err = end
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), filepath.Join(f.dir, name))
-	}
-	if err != nil {
-		os.Remove(tmp.Name())
+	if err := durable.Write(filepath.Join(f.dir, name), raw); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
@@ -153,13 +160,11 @@
 		}
 	}
 	found, why = f.read(stateName)
-	f.epoch = 1
-	switch {
-	case found != nil:
-		f.epoch = found.Epoch + 1
-	case why != nil: // guards against an older process that runs, whose epoch can't be read: its own began earlier
-		f.epoch = uint64(time.Now().UnixMilli())
+	f.epoch = f.latestEpoch() + 1 // where the state can't be read the processes that run tell theirs
+	if found != nil {
+		f.epoch = max(f.epoch, found.Epoch+1)
 	}
+	f.say(func(t *told) { t.epoch = f.epoch })
 	next := handoff.State{}
 	if found != nil {
 		next = *found
@@ -191,6 +196,7 @@
 		return found, errors.Join(ErrTakenOver, err)
 	case handoff.Reclaim:
 		f.epoch = found.Epoch + 1
+		f.say(func(t *told) { t.epoch = f.epoch })
 		return found, nil
 	}
 	return nil, f.write(stateName, s)
@@ -241,12 +247,38 @@
 // Exchange tells the others what this process holds, and gives what those
 // that run hold together, and whether there are none.
 func (f *Files) Exchange(own Usage) (others Usage, alone bool) {
-	f.run.WriteAt(fmt.Appendf(nil, "%10d %10d\n", own.Clients, own.Backends), 0)
+	f.say(func(t *told) { t.Usage = own })
+	alone = true
+	for _, r := range f.others() {
+		alone = false
+		others.Clients += max(0, r.Clients)
+		others.Backends += max(0, r.Backends)
+	}
+	return others, alone
+}
+
+// told is what a process says in its own file.
+type told struct {
+	Usage
+	epoch uint64
+}
+
+const toldForm = "%10d %10d %20d\n"
+
+// say changes what this process says, and writes it.
+func (f *Files) say(change func(*told)) {
+	f.saidMu.Lock()
+	defer f.saidMu.Unlock()
+	change(&f.said)
+	f.run.WriteAt(fmt.Appendf(nil, toldForm, f.said.Clients, f.said.Backends, f.said.epoch), 0)
+}
+
+// others gives what each other process that runs says, and removes the files of dead ones.
+func (f *Files) others() (all []told) {
 	names, err := filepath.Glob(filepath.Join(f.dir, runPrefix+"*"+runSuffix))
 	if err != nil {
-		return Usage{}, true
+		return nil
 	}
-	alone = true
 	for _, name := range names[:min(len(names), maxRuns)] {
 		number := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(name), runPrefix), runSuffix)
 		id, err := strconv.Atoi(number)
@@ -257,15 +289,21 @@
 			os.Remove(name) // its process is dead
 			continue
 		}
-		alone = false
-		var u Usage
+		var t told
 		if raw, err := os.ReadFile(name); err == nil {
-			fmt.Sscanf(string(raw), "%d %d", &u.Clients, &u.Backends)
+			fmt.Sscan(string(raw), &t.Clients, &t.Backends, &t.epoch)
 		}
-		others.Clients += max(0, u.Clients)
-		others.Backends += max(0, u.Backends)
+		all = append(all, t)
 	}
-	return others, alone
+	return all
+}
+
+// latestEpoch is the highest one of the other processes that run.
+func (f *Files) latestEpoch() (latest uint64) {
+	for _, t := range f.others() {
+		latest = max(latest, t.epoch)
+	}
+	return latest
 }
 
 // Follow exchanges usage until ctx ends: held tells what this process holds,
--- a/internal/handover/files_test.go
+++ b/internal/handover/files_test.go
@@ -210,6 +210,51 @@
 	}
 }
 
+// Nor does a clock that was set back between the two: epochs count processes and not time.
+func TestEpochsDoNotFollowTheClock(t *testing.T) {
+	dir := t.TempDir()
+	old := process(t, dir)
+	old.Take()
+	old.epoch = uint64(time.Now().Add(time.Hour).UnixMilli()) // as an earlier form drew it
+	old.say(func(s *told) { s.epoch = old.epoch })
+	if err := os.WriteFile(filepath.Join(dir, stateName), []byte("torn"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	next := process(t, dir)
+	next.Take()
+	if _, err := old.Store(example()); !errors.Is(err, ErrTakenOver) || next.Speaks() != nil {
+		t.Errorf("the old one still speaks: %v", err)
+	}
+}
+
+// A process that stands still while it holds the lock keeps the next one from nothing: that
+// starts clean within the time for a lock, and speaks once the other has gone.
+func TestAProcessThatHoldsTheLockHoldsUpNobody(t *testing.T) {
+	dir := t.TempDir()
+	old := process(t, dir)
+	old.Take()
+	unlock, err := old.lock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := process(t, dir)
+	began := time.Now()
+	if _, err := next.Take(); !errors.Is(err, errLocked) || time.Since(began) > 10*lockTime {
+		t.Errorf("after %v: %v", time.Since(began), err)
+	}
+	unlock()
+	if next.Speaks() == nil {
+		t.Error("two processes speak")
+	}
+	old.run.Close() // it dies
+	if _, err := next.Store(example()); err != nil {
+		t.Error(err)
+	}
+	if _, err := next.Store(example()); err != nil || next.Speaks() != nil {
+		t.Errorf("the next one does not speak: %v", err)
+	}
+}
+
 // What an older process is told after a newer one has taken over reaches that
 // one, and the other way round; each is told once, and nothing of its own.
 func TestEachHearsWhatTheOtherIsTold(t *testing.T) {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -131,8 +131,8 @@
 	return newer, err
 }
 
-// adopt takes over the words that operators gave to a newer process.
-func (n *Node) adopt(s *handoff.State) {
+// adoptWords takes over the words that operators gave to a newer process.
+func (n *Node) adoptWords(s *handoff.State) {
 	if slices.Equal(s.Maintenance, n.byHand.Records()) {
 		return // guards against a busy loop: what changes the list is kept at once, and so finds the newer state again
 	}
@@ -140,15 +140,15 @@
 	for name := range n.list.All() {
 		n.byHand.Listed(name, true)
 	}
-	n.again()
+	n.reapplyList()
 }
 
-// overhear takes a list that another process of the node was told, if it goes
+// takeOthersList takes a list that another process of the node was told, if it goes
 // before this one's own: guards against a drain that was told to the old
 // process after the new one had read its state, while discovery is silent.
-func (n *Node) overhear(s *handoff.State) {
+func (n *Node) takeOthersList(s *handoff.State) {
 	if handoff.Follows(handoff.State{Generation: n.list.Generation(), ListAt: n.list.ToldAt()}, *s) {
-		n.follow(discovery.News{Kind: balance.ListCached, List: listOf(s)})
+		n.takeNews(discovery.News{Kind: balance.ListCached, List: listOf(s)})
 		n.list.Overhear(s.Generation, s.ListAt, entriesOf(listOf(s)))
 	}
 }
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -39,8 +39,8 @@
 func TestOutByHandHoldsOverListsAndTheNextProcess(t *testing.T) {
 	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
 	n := New(cfg)
-	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
-	closed := func(n *Node, name string) bool { b := n.servers[n.ids[name]]; return b == nil || b.Closed.Load() }
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	closed := func(n *Node, name string) bool { b := n.servers[n.ids[name]]; return b == nil || b.Closed() }
 	if err := hear(n, "nobody", true); !errors.Is(err, maintenance.ErrUnknown) {
 		t.Errorf("an id that nobody has: %v", err)
 	}
@@ -55,8 +55,8 @@
 	up := func(id string) discovery.Entry {
 		return discovery.Entry{InstanceID: id, HostPort: "127.0.0.1:2", Lifecycle: "up", StartedAtMs: time.Now().UnixMilli()}
 	}
-	n.follow(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 8, Instances: []discovery.Entry{up("s-1")}}})
-	n.follow(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 9, Instances: []discovery.Entry{up("s-0"), up("s-1")}}})
+	n.takeNews(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 8, Instances: []discovery.Entry{up("s-1")}}})
+	n.takeNews(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 9, Instances: []discovery.Entry{up("s-0"), up("s-1")}}})
 	if !closed(n, "s-0") || !closed(n, "s-1") {
 		t.Error("the list overruled the operators")
 	}
@@ -68,7 +68,7 @@
 	if next.list.Generation() != 9 {
 		t.Errorf("it goes on from list %d", next.list.Generation())
 	}
-	next.follow(discovery.News{Kind: balance.ListCached, List: next.cfg.Known})
+	next.takeNews(discovery.News{Kind: balance.ListCached, List: next.cfg.Known})
 	if !closed(next, "s-0") || !closed(next, "s-1") {
 		t.Error("the next process forgot the operators' words")
 	}
@@ -86,17 +86,17 @@
 func TestDrainsAndColdServersAreTakenOver(t *testing.T) {
 	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
 	n := New(cfg)
-	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: cfg.Known})
 	started := time.Now().Add(-time.Second).UnixMilli()
-	n.follow(discovery.News{Kind: balance.ListChanges, List: discovery.List{Generation: 8, Instances: []discovery.Entry{
+	n.takeNews(discovery.News{Kind: balance.ListChanges, List: discovery.List{Generation: 8, Instances: []discovery.Entry{
 		{InstanceID: "s-0", HostPort: "127.0.0.1:2", Lifecycle: "draining"},
 		{InstanceID: "s-1", HostPort: "127.0.0.1:3", Lifecycle: "up", StartedAtMs: started}}}})
 	s := n.state()
 	s.Version, s.Node = handoff.Version, cfg.Name
 	next := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"))
 	next.TakeOver(s, &fakeKeeper{})
-	next.follow(discovery.News{Kind: balance.ListCached, List: next.cfg.Known})
-	if b := next.servers[next.ids["s-0"]]; !b.Closed.Load() {
+	next.takeNews(discovery.News{Kind: balance.ListCached, List: next.cfg.Known})
+	if b := next.servers[next.ids["s-0"]]; !b.Closed() {
 		t.Error("the drain was forgotten")
 	}
 	_, servers := next.module.Learned()
@@ -112,7 +112,7 @@
 	k := &fakeKeeper{}
 	n.TakeOver(nil, k)
 	ctx, stop := context.WithCancel(context.Background())
-	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: cfg.Known})
 	go n.loop(ctx)
 	if err := n.Maintain(ctx, "s-0", true); err != nil || k.kept == nil || len(k.kept.Maintenance) != 1 {
 		t.Errorf("it said yes (%v) with %+v kept", err, k.kept)
@@ -145,7 +145,7 @@
 	n := New(cfg)
 	k := &fakeKeeper{err: handover.ErrTakenOver, newer: &handoff.State{Maintenance: []maintenance.Record{{ID: "s-0", Out: true}}}}
 	n.TakeOver(nil, k)
-	n.follow(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: cfg.Known})
 	turns := 0
 	for ; turns < 10; turns++ { // the loop and the goroutine that keeps, by turns
 		select {
@@ -155,7 +155,7 @@
 		}
 		select {
 		case e := <-n.events:
-			n.take(e)
+			n.takeEvent(e)
 			continue
 		default:
 		}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -33,6 +33,7 @@
 const (
 	holdsPerNarrow = 3 // calls of a watch that end within the time after which a node narrows
 	closedHoldOff  = time.Second
+	recordEndTime  = 100 * time.Millisecond // for the last record: the process has 0.2 s until SIGKILL then
 	unreadTime     = 150 * time.Millisecond // after a stop, in which what came meanwhile is read
 	spareTime      = 120 * time.Millisecond // that a request which waits must have left: longer than a tick
 )
@@ -50,6 +51,7 @@
 	wokeAt  atomic.Int64
 	gap     atomic.Int64 // how long it stood still then
 	shut    atomic.Bool
+	write   func(path string, r *version.Record) error // appends to the record's file
 }
 
 // What the loop is told of the fleet.
@@ -63,7 +65,7 @@
 	if cfg.Fleet == nil || cfg.PeerListen == "" || !cfg.Settings.MayMessage {
 		return nil
 	}
-	f := &fleet{cfg: cfg.Fleet}
+	f := &fleet{cfg: cfg.Fleet, write: recordfile.Append}
 	c := cfg.Fleet.Member
 	c.Name, c.Self, c.Nodes, c.Seed, c.Settings, c.Build = cfg.Name, cfg.Settings.Self, len(cfg.Peers), cfg.Seed, cfg.settingsDigest, build.Digest()
 	for _, t := range cfg.Settings.Tenants {
@@ -132,9 +134,9 @@
 		n.fleet.gap.Store(int64(gap))
 		n.fleet.wokeAt.Store(int64(now))
 		for _, r := range n.requests {
-			if time.Until(r.Deadline) <= 0 && n.finish(r, Answer{Status: http.StatusBadGateway}) {
+			if time.Until(r.Deadline) <= 0 && n.finish(r, Answer{Status: http.StatusBadGateway, Why: figures.TurnedDeadline}) {
 				n.handle(balance.RequestAbandoned{ID: r.ID})
-				n.forget(r)
+				n.forgetRequest(r)
 			}
 		}
 		n.fleetDo(member.Woke{Gap: gap})
@@ -186,7 +188,7 @@
 func (n *Node) fleetChanged() {
 	if n.fleet != nil && n.fleet.changed {
 		n.fleet.changed = false
-		n.again()
+		n.reapplyList()
 	}
 }
 
@@ -207,7 +209,7 @@
 	}
 	if used != n.fleet.used {
 		n.fleet.used = used
-		n.again()
+		n.reapplyList()
 	}
 }
 
@@ -250,7 +252,7 @@
 		return true
 	}
 	f.agent.Recorder().RefusedOld()
-	a := Answer{Status: http.StatusServiceUnavailable}
+	a := Answer{Status: http.StatusServiceUnavailable, Why: figures.TurnedStale}
 	if n.cfg.Settings.HoldOffs {
 		a.HoldOff = min(closedHoldOff, n.cfg.Settings.MaxHoldOff)
 	}
@@ -271,13 +273,13 @@
 	f.waiting = nil
 	for _, r := range waiting {
 		switch {
-		case r.over.Load(): // its client is gone
+		case r.isOver(): // its client is gone
 		case holds && time.Until(r.Deadline) > spareTime:
 			f.waiting = append(f.waiting, r)
 		case holds || end || time.Until(r.Deadline) <= 0:
-			n.finish(r, Answer{Status: http.StatusServiceUnavailable})
+			n.finish(r, Answer{Status: http.StatusServiceUnavailable, Why: figures.TurnedStale})
 		default:
-			n.arrive(r)
+			n.takeRequest(r)
 		}
 	}
 }
@@ -361,7 +363,7 @@
 		r, err := n.record(ctx)
 		cancel()
 		if err == nil {
-			err = recordfile.Append(n.fleet.cfg.RecordFile, &r)
+			err = n.fleet.write(n.fleet.cfg.RecordFile, &r)
 		}
 		if err != nil && !failed {
 			log.Printf("fleet: the record is not written: %v", err)
@@ -378,7 +380,14 @@
 	}
 	r := n.fleet.member.Record(n.now())
 	r.Ended = true
-	if err := recordfile.Append(n.fleet.cfg.RecordFile, &r); err != nil {
-		log.Printf("fleet: the last record is not written: %v", err)
+	written := make(chan error, 1)
+	go func() { written <- n.fleet.write(n.fleet.cfg.RecordFile, &r) }()
+	select {
+	case err := <-written:
+		if err != nil {
+			log.Printf("fleet: the last record is not written: %v", err)
+		}
+	case <-time.After(recordEndTime): // guards against a disk that keeps the process from ending
+		log.Printf("fleet: the last record is not written after %v", recordEndTime)
 	}
 }
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"barrowscale/fleet/version"
+	"barrowscale/internal/operator"
+)
+
+// A disk that stands still keeps a node from ending for no longer than the time for its last
+// record.
+func TestADiskThatStandsStillDoesNotKeepANodeFromEnding(t *testing.T) {
+	c := testConfig(t, "127.0.0.1:1")
+	c.Settings.MayMessage = true
+	c.PeerListen, c.Peers, c.PeersAll = "127.0.0.1:0", []string{"127.0.0.1:1"}, "127.0.0.1:2"
+	var switched operator.Fleet
+	c.Fleet = &Fleet{Member: switched.Member(), RecordFile: "record", RecordEvery: time.Hour}
+	n := New(c)
+	hangs := make(chan bool)
+	defer close(hangs)
+	n.fleet.write = func(string, *version.Record) error {
+		<-hangs
+		return nil
+	}
+	began := time.Now()
+	n.recordEnd()
+	if took := time.Since(began); took > 10*recordEndTime {
+		t.Errorf("it took %v", took)
+	}
+}
--- /dev/null
+++ b/internal/node/neighbours.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/membership"
+)
+
+// What nodes tell one another of the list: a node that discovery did not answer for a while tells of the
+// servers that left meanwhile, and one that discovery does not answer asks others what it missed.
+
+const (
+	questionEvery = membership.Told / 8 // a change is to be heard of well before it counts as told, though some datagrams are lost
+	questionTo    = 2                   // nodes asked at once: some know no more themselves
+	answerEvery   = questionEvery / 2   // to one node, at most
+)
+
+// sendWithdrawals tells the nodes that use them of servers that leave. It is asked before the module
+// knows, which then has no users of theirs any more.
+func (n *Node) sendWithdrawals(left []string) {
+	if n.peers == nil || n.fleet != nil {
+		return
+	}
+	keys := map[int]membership.Left{}
+	for _, name := range left {
+		id := n.ids[name]
+		for _, user := range n.module.Users(id) {
+			keys[user] = append(keys[user], uint32(id))
+		}
+	}
+	for user, of := range keys {
+		n.sendLeft(user, of)
+	}
+}
+
+func (n *Node) sendLeft(to int, keys membership.Left) {
+	for part := range slices.Chunk(keys, membership.MostWords) {
+		n.peers.send(balance.SendMessage{To: to, Data: membership.Encode(part)})
+	}
+}
+
+// askNeighbours asks two other nodes for what this one missed, now and then while discovery is not heard.
+func (n *Node) askNeighbours() {
+	if n.peers == nil || n.fleet != nil || !n.list.Lost() || n.list.Generation() == 0 || time.Since(n.askedAt) < questionEvery {
+		return
+	}
+	n.askedAt = time.Now()
+	question := membership.Encode(membership.Question{Generation: n.list.Generation()})
+	others := len(n.peers.addrs) - 1
+	for range min(questionTo, others) {
+		to := rand.IntN(others)
+		if to >= n.cfg.Settings.Self {
+			to++
+		}
+		n.figures.QuestionsAsked.Add(1)
+		n.peers.send(balance.SendMessage{To: to, Data: question})
+	}
+}
+
+// takeDatagram takes what another node says or asks of the list.
+func (n *Node) takeDatagram(from int, data []byte) {
+	datagram, err := membership.Decode(data)
+	if err != nil {
+		n.figures.WordsMalformed.Add(1)
+		return
+	}
+	switch d := datagram.(type) {
+	case membership.Left:
+		n.takeWithdrawals(d)
+	case membership.Started:
+		n.takeRestarts(d)
+	case membership.Question:
+		n.answerNeighbour(from, d)
+	}
+}
+
+// takeWithdrawals takes a neighbour's word that servers leave.
+func (n *Node) takeWithdrawals(keys membership.Left) {
+	var names []string
+	for _, key := range keys {
+		if b := n.servers[balance.ServerID(key)]; b != nil {
+			names = append(names, b.Name)
+		}
+	}
+	if n.list.Hear(n.now(), names) {
+		n.takeWord()
+	}
+}
+
+// takeRestarts takes a neighbour's word that servers were restarted.
+func (n *Node) takeRestarts(servers membership.Started) {
+	var restarted []membership.Change
+	for _, r := range servers {
+		if b := n.servers[balance.ServerID(r.Key)]; b != nil {
+			restarted = append(restarted, membership.Change{Name: b.Name, Started: r.Started})
+		}
+	}
+	if n.list.HearStarts(n.now(), restarted) {
+		n.takeWord()
+	}
+}
+
+// takeWord acts on a neighbour's word that holds.
+func (n *Node) takeWord() {
+	n.figures.WordsTaken.Add(1)
+	n.reapplyList()
+}
+
+// checkWithdrawals looks whether the own source has said what neighbours did.
+func (n *Node) checkWithdrawals() {
+	doubt, changed := n.list.Check(n.now())
+	if doubt && n.source != nil {
+		n.source.Doubt()
+	}
+	if changed {
+		n.takeWord()
+	}
+}
+
+// answerNeighbour tells a node what it missed, if this one was told more; not more often than one asks.
+func (n *Node) answerNeighbour(to int, question membership.Question) {
+	if n.peers == nil || to < 0 || time.Since(n.answeredAt[to]) < answerEvery {
+		return
+	}
+	var left membership.Left
+	var restarted membership.Started
+	for _, c := range n.list.Since(question.Generation) {
+		id, known := n.ids[c.Name]
+		if !known { // it has left, and is forgotten
+			id = hashOf(c.Name)
+		}
+		if c.Started == 0 {
+			left = append(left, uint32(id))
+		} else {
+			restarted = append(restarted, membership.Restarted{Key: uint32(id), Started: c.Started})
+		}
+	}
+	if len(left) == 0 && len(restarted) == 0 {
+		return
+	}
+	n.answeredAt[to] = time.Now()
+	n.figures.QuestionsAnswered.Add(1)
+	n.sendLeft(to, left)
+	for part := range slices.Chunk(restarted, membership.MostStarts) {
+		n.peers.send(balance.SendMessage{To: to, Data: membership.Encode(part)})
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,13 +8,13 @@
 	"path/filepath"
 	"reflect"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"barrowscale/balance"
 	"barrowscale/internal/backend"
 	"barrowscale/internal/discovery"
+	"barrowscale/internal/figures"
 	"barrowscale/internal/nodetest"
 )
 
@@ -123,20 +123,20 @@
 
 func TestDrainingBackendsGetNothingNew(t *testing.T) {
 	n := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"))
-	n.follow(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
 	draining := discovery.List{Generation: 8, Instances: []discovery.Entry{{InstanceID: "s-0", HostPort: "127.0.0.1:2", Lifecycle: "draining"},
 		{InstanceID: "s-1", Lifecycle: "removed"}}}
-	n.follow(discovery.News{Kind: balance.ListChanges, List: draining})
+	n.takeNews(discovery.News{Kind: balance.ListChanges, List: draining})
 	closed := func(name string) bool {
 		b := n.servers[n.ids[name]]
-		return b == nil || b.Closed.Load()
+		return b == nil || b.Closed()
 	}
 	for i, want := range []bool{true, true, false} {
 		if got := closed(fmt.Sprintf("s-%d", i)); got != want {
 			t.Errorf("s-%d closed: %v", i, got)
 		}
 	}
-	n.follow(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 9, Instances: []discovery.Entry{
+	n.takeNews(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 9, Instances: []discovery.Entry{
 		{InstanceID: "s-0", HostPort: "127.0.0.1:2", Lifecycle: "up"}}}})
 	for i, want := range []bool{false, true, true} {
 		if got := closed(fmt.Sprintf("s-%d", i)); got != want {
@@ -155,19 +155,19 @@
 			{InstanceID: id, HostPort: "127.0.0.1:2", Lifecycle: "up"}}}}
 	}
 	for i := range 100 {
-		n.follow(list(i, fmt.Sprintf("s-%d", i)))
+		n.takeNews(list(i, fmt.Sprintf("s-%d", i)))
 	}
 	if len(n.servers) != 1 || len(n.ids) != 1 || n.pool.Servers() != 1 {
 		t.Errorf("kept %d backends, %d names, %d in the pool", len(n.servers), len(n.ids), n.pool.Servers())
 	}
 	old := n.servers[n.ids["s-99"]]
 	old.Out++
-	n.follow(list(100, "s-new"))
+	n.takeNews(list(100, "s-new"))
 	if n.servers[old.ID] != old {
 		t.Fatal("forgotten with an attempt out")
 	}
 	r := &Request{RequestArrived: balance.RequestArrived{ID: "r"}, answer: make(chan Answer, 1), out: 1}
-	n.ended(attemptDone{attempt: &attempt{request: r, server: old}, Result: backend.Result{Code: balance.Reset}})
+	n.attemptEnded(attemptDone{attempt: &attempt{request: r, server: old}, Result: backend.Result{Code: balance.Reset}})
 	if len(n.servers) != 1 || len(n.ids) != 1 || n.pool.Servers() != 1 {
 		t.Errorf("after the last outcome: %d servers, %d names, %d in the pool", len(n.servers), len(n.ids), n.pool.Servers())
 	}
@@ -186,14 +186,14 @@
 	c := testConfig(t, "127.0.0.1:1")
 	c.Settings.MayMessage = true
 	c.PeerListen, c.Peers, c.PeersAll = "127.0.0.1:0", []string{"127.0.0.1:1", peer.LocalAddr().String()}, peer.LocalAddr().String()
-	p, err := openPeers(c)
+	count := figures.New(nil)
+	p, err := openPeers(c, count)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer p.conn.Close()
 	got := make(chan any, 10)
-	var strangers atomic.Int64
-	go p.receive(func(e any) { got <- e }, false, &strangers)
+	go p.receive(func(e any) { got <- e }, false)
 	to := p.conn.LocalAddr()
 	stranger.WriteTo([]byte("no"), to)
 	peer.WriteTo(make([]byte, maxDatagram+1), to)
@@ -206,7 +206,7 @@
 	case <-time.After(nodetest.Patience):
 		t.Fatal("nothing came")
 	}
-	if n := strangers.Load(); n != 2 {
+	if n := count.Strangers.Load(); n != 2 {
 		t.Errorf("%d of two others were counted", n)
 	}
 	p.send(balance.SendMessage{To: 9, Data: []byte("x")}) // nobody: must not panic
@@ -222,12 +222,12 @@
 // may still bring.
 func TestNewsOfAnAddressThatWasLeftIsIgnored(t *testing.T) {
 	n := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2"))
-	n.follow(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
-	n.move("127.0.0.1:4")
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
+	n.changeDiscovery("127.0.0.1:4")
 	old := n.source
-	n.move("127.0.0.1:3")
+	n.changeDiscovery("127.0.0.1:3")
 	defer n.source.Close()
-	n.take(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 99, Reset: true}, From: old})
+	n.takeEvent(discovery.News{Kind: balance.ListFull, List: discovery.List{Generation: 99, Reset: true}, From: old})
 	if len(n.servers) != 1 || n.list.Generation() != 0 {
 		t.Errorf("%d servers, version %d", len(n.servers), n.list.Generation())
 	}
@@ -237,7 +237,7 @@
 func TestARequestWhoseClientWentWhileItWaitedIsNotSent(t *testing.T) {
 	server := nodetest.NewHeldListener(t)
 	n := New(testConfig(t, nodetest.ClosedAddr(t), server.Addr().String()))
-	n.follow(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
 	for _, leaves := range []bool{false, true} {
 		r := &Request{RequestArrived: balance.RequestArrived{ID: "r", Class: "clip"}, Method: "GET", URI: "/clip/a", Deadline: time.Now().Add(time.Minute)}
 		n.Take(r) // the loop does not run: both wait in its queue
@@ -245,7 +245,7 @@
 			n.Abandon(r)
 		}
 		for len(n.events) > 0 {
-			n.take(<-n.events)
+			n.takeEvent(<-n.events)
 		}
 		if sent := len(r.attempts); leaves == (sent > 0) {
 			t.Errorf("client gone %v: %d attempts", leaves, sent)
@@ -255,7 +255,7 @@
 		}
 		n.Abandon(r)
 		for len(n.requests) > 0 {
-			n.take(<-n.events)
+			n.takeEvent(<-n.events)
 		}
 	}
 }
@@ -263,15 +263,15 @@
 // Discovery answers with broken-off and unreadable lists: the last good one holds, and each is counted.
 func TestTheLastGoodListHolds(t *testing.T) {
 	n := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"))
-	n.follow(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
+	n.takeNews(discovery.News{Kind: balance.ListCached, List: n.cfg.Known})
 	version := n.list.Generation()
 	for _, why := range []discovery.Failure{discovery.CutShort, discovery.Unreadable, discovery.Unreadable, discovery.Unanswered} {
-		n.follow(discovery.News{Kind: balance.ListFailed, Why: why, From: nil})
+		n.takeNews(discovery.News{Kind: balance.ListFailed, Why: why, From: nil})
 		n.handle(balance.TimerFired{})
 	}
-	n.follow(discovery.News{Kind: balance.ListChanges, List: discovery.List{Generation: version, Skipped: 3}})
+	n.takeNews(discovery.News{Kind: balance.ListChanges, List: discovery.List{Generation: version, Skipped: 3}})
 	for name, b := range map[string]*backend.Server{"first": n.servers[n.ids[n.cfg.Known.Instances[0].InstanceID]], "second": n.servers[n.ids[n.cfg.Known.Instances[1].InstanceID]]} {
-		if b == nil || b.Closed.Load() || b.Gone {
+		if b == nil || b.Closed() || b.Gone {
 			t.Errorf("the %s server is not used any more: %+v", name, b)
 		}
 	}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -9,6 +9,7 @@
 	"barrowscale/handoff"
 	"barrowscale/internal/backend"
 	"barrowscale/internal/discovery"
+	"barrowscale/internal/eventlog"
 	"barrowscale/internal/figures"
 )
 
@@ -47,6 +48,12 @@
 // Count gives the figures themselves, for fronts.
 func (n *Node) Count() *figures.Set { return n.figures }
 
+// History gives the latest events, for fronts to add theirs.
+func (n *Node) History() *eventlog.Log { return n.history }
+
+// Events words the latest events, those of one request if it is named.
+func (n *Node) Events(request string) []byte { return n.history.Text(request) }
+
 // Backends gives the pool of connections to servers.
 func (n *Node) Backends() *backend.Pool { return n.pool }
 
@@ -95,36 +102,36 @@
 func (n *Node) maintain(w word) {
 	var h heard
 	if w.adopt != nil {
-		n.adopt(w.adopt)
+		n.adoptWords(w.adopt)
 		w.answer <- h
 		return
 	}
 	if w.out {
-		h.err = n.byHand.Enter(w.id, n.now(), time.Duration(n.list.All()[w.id].Payload.StartedAtMs)*time.Millisecond)
+		h.err = n.byHand.Enter(w.id, n.now(), n.startOf(n.list.All()[w.id].Payload, n.list.ToldAt()))
 	} else {
 		h.err = n.byHand.Exit(w.id, n.now())
 	}
 	if h.err == nil {
 		n.fleetWorded()
-		n.again()
+		n.reapplyList()
 		h.state = n.state()
 	}
 	w.answer <- h
 }
 
-// again tells the module the whole list anew, in the form of one that was held
+// reapplyList tells the module the whole list anew, in the form of one that was held
 // before: it is no answer of discovery.
-func (n *Node) again() {
+func (n *Node) reapplyList() {
 	entries := make([]discovery.Entry, 0, len(n.list.All()))
 	for _, e := range n.list.All() {
 		entries = append(entries, e.Payload)
 	}
-	n.apply(balance.ListCached, entries)
+	n.applyEntries(balance.ListCached, entries, n.list.ToldAt())
 }
 
-// look publishes what only the loop knows, and has it kept for a process that
+// publish publishes what only the loop knows, and has it kept for a process that
 // takes over.
-func (n *Node) look() {
+func (n *Node) publish() {
 	avoided := 0
 	for name := range n.list.All() {
 		if n.byHand.Out(name) || n.list.Out(name) || n.module.Suspected(n.ids[name]) || n.fleetOut(name, n.servers[n.ids[name]]) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,18 +2,26 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"slices"
-	"sync/atomic"
 	"syscall"
+	"time"
 
 	"barrowscale/balance"
 	"barrowscale/fleet/roster"
+	"barrowscale/internal/figures"
+	"barrowscale/internal/neterr"
 )
 
-const maxDatagram = 256
+const (
+	maxDatagram = 256
+
+	readRetryFirst = time.Millisecond // after a read that failed; it doubles
+	readRetryLast  = 50 * time.Millisecond
+)
 
 // peers exchanges datagrams with the other nodes.
 type peers struct {
@@ -23,6 +31,7 @@
 	numbers map[string]int // by address
 	open    bool           // processes are known by their addresses, which is not for the socket to judge
 	ranges  []netip.Prefix // of addresses that are heard beside those
+	count   *figures.Set
 }
 
 func (p *peers) hears(a netip.Addr) bool {
@@ -30,11 +39,11 @@
 }
 
 // openPeers gives nil where the configuration names no address to listen on.
-func openPeers(c *Config) (*peers, error) {
+func openPeers(c *Config, count *figures.Set) (*peers, error) {
 	if c.PeerListen == "" || !c.Settings.MayMessage {
 		return nil, nil
 	}
-	p := &peers{numbers: map[string]int{}}
+	p := &peers{numbers: map[string]int{}, count: count}
 	if c.Fleet != nil {
 		p.ranges, p.open = c.Fleet.Member.Ranges, len(c.Fleet.Member.Ranges) > 0
 	}
@@ -76,18 +85,25 @@
 
 // receive passes on datagrams until the socket is closed. One from a
 // stranger, or too long, is dropped and counted. fleet is whether they go
-// to the node's member of it first.
-func (p *peers) receive(post func(any), fleet bool, strangers *atomic.Int64) {
+// to the node's member of it first. A read that fails is counted and made again.
+func (p *peers) receive(post func(any), fleet bool) {
 	buf := make([]byte, maxDatagram+1)
-	for {
+	for pause := readRetryFirst; ; {
 		n, from, err := p.conn.ReadFrom(buf)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			p.count.DatagramErrors.Add(neterr.Number(err))
+			time.Sleep(pause)
+			pause = min(2*pause, readRetryLast)
+			continue
+		}
+		pause = readRetryFirst
 		at := from.(*net.UDPAddr).AddrPort()
 		number, known := p.numbers[from.String()]
 		if !known && !p.hears(at.Addr().Unmap()) || n > maxDatagram {
-			strangers.Add(1)
+			p.count.Strangers.Add(1)
 			continue
 		}
 		data := append([]byte(nil), buf[:n]...)
@@ -111,7 +127,7 @@
 	if !m.ToAll {
 		to = p.addrs[m.To]
 	}
-	p.conn.WriteTo(m.Data, to)
+	p.write(m.Data, to)
 }
 
 // sendTo sends to a process of the fleet, by the address that stands for it there.
@@ -123,5 +139,13 @@
 		p.send(balance.SendMessage{To: number, Data: data})
 		return
 	}
-	p.conn.WriteTo(data, net.UDPAddrFromAddrPort(to))
+	p.write(data, net.UDPAddrFromAddrPort(to))
+}
+
+// write sends a datagram once. One that can't be sent is lost, as the network may lose
+// it, and counted.
+func (p *peers) write(data []byte, to net.Addr) {
+	if _, err := p.conn.WriteTo(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
+		p.count.DatagramErrors.Add(neterr.Number(err))
+	}
 }
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"barrowscale/balance"
+	"barrowscale/internal/figures"
+	"barrowscale/internal/nodetest"
+)
+
+// failingSocket fails reads and writes with the errors that a test puts into it.
+type failingSocket struct {
+	net.PacketConn
+	reads, writes chan syscall.Errno
+}
+
+func (s *failingSocket) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case errno := <-s.reads:
+		return 0, nil, &net.OpError{Op: "read", Net: "udp", Err: os.NewSyscallError("recvfrom", errno)}
+	default:
+		return s.PacketConn.ReadFrom(b)
+	}
+}
+
+func (s *failingSocket) WriteTo(b []byte, to net.Addr) (int, error) {
+	select {
+	case errno := <-s.writes:
+		return 0, &net.OpError{Op: "write", Net: "udp", Err: os.NewSyscallError("sendto", errno)}
+	default:
+		return s.PacketConn.WriteTo(b, to)
+	}
+}
+
+// A datagram that can't be read or sent is counted; those after it come and go as before.
+func TestErrorsOfDatagramsEndNothing(t *testing.T) {
+	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c := testConfig(t, "127.0.0.1:1")
+	c.Settings.MayMessage = true
+	c.PeerListen, c.Peers, c.PeersAll = "127.0.0.1:0", []string{"127.0.0.1:1", peer.LocalAddr().String()}, peer.LocalAddr().String()
+	count := figures.New(nil)
+	p, err := openPeers(c, count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket := &failingSocket{PacketConn: p.conn, reads: make(chan syscall.Errno, 10), writes: make(chan syscall.Errno, 10)}
+	p.conn = socket
+	defer socket.Close()
+	for _, errno := range []syscall.Errno{syscall.ECONNREFUSED, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR} {
+		socket.reads <- errno
+	}
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.EMSGSIZE, syscall.EPERM} {
+		socket.writes <- errno
+		p.send(balance.SendMessage{To: 1, Data: []byte("lost")})
+	}
+	p.send(balance.SendMessage{To: 1, Data: []byte("sent")})
+	buf := make([]byte, 10)
+	peer.SetReadDeadline(time.Now().Add(nodetest.Patience))
+	if n, _, err := peer.ReadFrom(buf); err != nil || string(buf[:n]) != "sent" {
+		t.Errorf("the peer got %q, %v", buf[:n], err)
+	}
+	got, ended := make(chan any, 10), make(chan bool)
+	go func() {
+		p.receive(func(e any) { got <- e }, false)
+		close(ended)
+	}()
+	peer.WriteTo([]byte("heard"), socket.LocalAddr())
+	select {
+	case e := <-got:
+		if m, is := e.(balance.MessageReceived); !is || string(m.Data) != "heard" {
+			t.Errorf("got %+v", e)
+		}
+	case <-time.After(nodetest.Patience):
+		t.Fatal("it is deaf")
+	}
+	for _, figure := range []string{"app.peers.errors.ECONNREFUSED:1|c", "app.peers.errors.ENOBUFS:2|c", "app.peers.errors.EMSGSIZE:1|c"} {
+		if !strings.Contains(string(count.Text()), figure) {
+			t.Errorf("there is no %s", figure)
+		}
+	}
+	socket.Close()
+	select {
+	case <-ended:
+	case <-time.After(nodetest.Patience):
+		t.Error("it goes on")
+	}
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"barrowscale/balance"
 	"barrowscale/internal/backend"
+	"barrowscale/internal/figures"
 )
 
 // Request is one try of a client, from its arrival to its final answer. A
@@ -18,13 +20,29 @@
 	Body             []byte
 	Rest             Rest // of a body that is not held: nil if Body is all
 	Deadline         time.Time
-	answer           chan Answer // holds the one final answer
-	over             atomic.Bool // has its final answer, or its client is gone: nothing more goes out
-	attempts         []*attempt  // the loop's
-	out              int         // the loop's
-	spent            atomic.Bool // an attempt has begun to read Rest
+	ReadAt           time.Time              // when its last byte was read, or, of a body that is not held, its head's
+	Left             func() bool            // whether its client has gone, looked at just now; nil: not known
+	answer           chan Answer            // holds the one final answer
+	over             atomic.Pointer[ending] // nothing more goes out; nil: it is open
+	attempts         []*attempt             // the loop's
+	out              int                    // the loop's
+	spent            atomic.Bool            // an attempt has begun to read Rest
 }
 
+// ending is how and when a request ended.
+type ending struct {
+	at       time.Time
+	answered bool // it had its final answer, and its client did not go before that
+}
+
+// end notes that nothing more goes out for the request; false if that was so.
+func (r *Request) end(answered bool) bool {
+	return r.over.CompareAndSwap(nil, &ending{time.Now(), answered})
+}
+
+// isOver tells whether nothing more may go out for the request.
+func (r *Request) isOver() bool { return r.over.Load() != nil }
+
 // Rest is what comes after the part of a body that is held. It can be read
 // once, so an attempt that has begun to read it is the request's last.
 type Rest interface {
@@ -44,6 +62,7 @@
 	Body    []byte
 	Rest    *backend.Stream // of a 200 that is passed on in pieces: nil if Body is all
 	HoldOff time.Duration   // how long a refused client should wait; 0: no advice
+	Why     figures.Turned  // of any other status than 200: why no server's answer is passed on
 }
 
 // Front takes requests from clients and hands them to a node.
@@ -52,21 +71,46 @@
 	Addr() net.Addr
 	// Serve takes requests until the front is drained, or fails.
 	Serve() error
-	// Drain is the word to end: it goes on taking requests while connections
-	// may still come, and returns when all have their answers, or at end.
-	Drain(end time.Time) error
+	// Drain ends the service by the node's schedule, from the node's signal on: it
+	// goes on taking requests while connections may still come, and returns when
+	// all have their answers and the connections have ended, or at the
+	// schedule's end.
+	Drain() error
 }
 
+// endingHoldOff is how long a client is told to wait whose request a process that ends
+// refuses: another node may take it at once.
+const endingHoldOff = 50 * time.Millisecond
+
 // Take hands a request to the node. Exactly one final answer comes on the
-// channel, unless the request is abandoned.
+// channel, unless the request is abandoned or the node has ended (Done). One that
+// comes too late for a process that was told to end is refused at once.
 func (n *Node) Take(r *Request) <-chan Answer {
 	r.answer = make(chan Answer, 1)
+	if !n.life.mayTake(r.ReadAt) {
+		n.finish(r, n.EndingAnswer())
+		return r.answer
+	}
 	n.post(r)
 	return r.answer
 }
 
-// Abandon tells that a request's client is gone: nothing more goes out for it.
+// EndingAnswer refuses what comes too late for a process that ends.
+func (n *Node) EndingAnswer() Answer {
+	a := Answer{Status: http.StatusServiceUnavailable, Why: figures.TurnedEnding}
+	if n.cfg.Settings.HoldOffs {
+		a.HoldOff = min(endingHoldOff, n.cfg.Settings.MaxHoldOff)
+	}
+	return a
+}
+
+// Abandon tells, once, that a request's client is gone: nothing more goes out for it. An answer
+// that came just before is nobody's; what it passes on is given up.
 func (n *Node) Abandon(r *Request) {
-	r.over.Store(true)
+	if !r.end(false) && r.over.Load().answered { // its answer is there, or will be at once
+		if a := <-r.answer; a.Rest != nil {
+			a.Rest.Done(backend.ErrUnread)
+		}
+	}
 	n.post(clientGone{r})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/guard"
 )
 
 // Error is what is wrong with settings, on one line.
@@ -231,6 +232,7 @@
 	if _, known := modes[mode.Membership]; !known { // a wrong guess breaks the rule on drains
 		return s, fault("membership_mode", "%q; write on_request or pushed", mode.Membership)
 	}
+	s.HoldUp = guard.HoldUp // the simulator writes in the moment of the choice
 	return s, nil
 }
 
--- a/membership/caller.go
+++ b/membership/caller.go
@@ -22,8 +22,13 @@
 const (
 	// Told is the time after which a change counts as told, whatever failed.
 	Told = 6 * time.Second
-	// CallTime is what a call has beyond its hold; discovery itself gives up after 2 s.
+	// CallTime is what a call has beyond its hold.
 	CallTime = 2200 * time.Millisecond
+	// queueTime is what a call has at a discovery that turns others away: it is in a queue there, whose
+	// length the settings don't say (2 and 3 s have been seen), and whoever leaves it has to begin at its
+	// end, while discovery works for the call that nobody waits for any more. If it is silent after
+	// all, the next call still comes back before what it missed counts as told.
+	queueTime = Told - CallTime
 
 	backoffFirst = 200 * time.Millisecond // mean wait after a first failure; doubles
 	backoffMost  = 3 * time.Second        // the longest wait from a call that failed to the next one, with its jitter
@@ -247,8 +252,11 @@
 func (c *Caller) call(hold time.Duration, whole, aside bool) {
 	c.last++
 	limit := hold + CallTime
-	if c.set.Pushed {
+	switch {
+	case c.set.Pushed:
 		limit = hold + pushedTime
+	case c.crowded:
+		limit = hold + queueTime
 	}
 	x := &call{Call: Call{ID: c.last, From: c.generation, Whole: whole || !c.known, Hold: hold, Limit: limit}, at: c.now, aside: aside}
 	c.calls = append(c.calls, x)
--- a/membership/caller_test.go
+++ b/membership/caller_test.go
@@ -197,13 +197,19 @@
 }
 
 // A discovery that works through calls in turn, turns away at once those that would wait
-// for over 2 s and gives up those that do, is back after 8 s, and all nodes ask. However
-// slow it is, those it can take get through: calls that it refuses are spread further, so
-// that its queue is not always full of calls that it gives up in the end.
+// longer than it lets any wait and gives up those that do, is back after 8 s, and all nodes
+// ask. However slow it is, those it can take get through: calls that it refuses are spread
+// further, so that its queue is not always full of calls that it gives up in the end, and
+// nobody leaves its queue before his turn, however long it is.
 func TestASlowDiscoveryTakesInAllNodes(t *testing.T) {
-	const nodes, back, patience = 300, 8 * time.Second, 2 * time.Second
-	for _, rate := range []int{25, 40, 80, 160} { // calls a second
-		r := newRig(nodes, Settings{Nodes: nodes, AskWithin: 10 * time.Second}, Start{Known: true, Spread: true})
+	const back = 8 * time.Second
+	for _, x := range []struct {
+		nodes, rate int // calls a second
+		patience    time.Duration
+	}{{300, 25, 2 * time.Second}, {300, 40, 2 * time.Second}, {300, 80, 2 * time.Second}, {300, 160, 2 * time.Second},
+		{300, 25, 3 * time.Second}, {300, 80, 3 * time.Second}, {32, 4, 2 * time.Second}, {32, 4, 3 * time.Second}, {32, 4, 3500 * time.Millisecond}} {
+		nodes, rate, patience := x.nodes, x.rate, x.patience
+		r := newRig(nodes, Settings{Nodes: float64(nodes), AskWithin: 10 * time.Second}, Start{Known: true, Spread: true})
 		free := time.Hour + back // when the queue is worked off
 		calls, refused := 0, 0
 		r.reply = func(n *caller, c Call) (time.Duration, Event) {
@@ -225,7 +231,7 @@
 			}
 			return free - r.now, Answered{c.ID, false, 2}
 		}
-		most := 6*time.Second + 3*nodes*time.Second/time.Duration(rate)
+		most := 6*time.Second + 3*time.Duration(nodes)*time.Second/time.Duration(rate)
 		r.till(time.Hour + back + most)
 		var first []time.Duration
 		for _, n := range r.nodes {
@@ -234,9 +240,9 @@
 			}
 		}
 		slices.Sort(first)
-		t.Logf("%d calls a second: half of the nodes after %v, all after %v, %d calls, %d refused", rate, first[len(first)/2], first[len(first)-1], calls, refused)
+		t.Logf("%d nodes, %d calls a second, %v: half of the nodes after %v, all after %v, %d calls, %d refused", nodes, rate, patience, first[len(first)/2], first[len(first)-1], calls, refused)
 		if len(first) < nodes {
-			t.Errorf("%d calls a second: %d nodes got through within %v", rate, len(first), most)
+			t.Errorf("%d calls a second, %v: %d of %d nodes got through within %v", rate, patience, len(first), nodes, most)
 		}
 	}
 }
--- a/membership/list.go
+++ b/membership/list.go
@@ -1,8 +1,7 @@
 package membership
 
 import (
-	"encoding/binary"
-	"errors"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -37,6 +36,7 @@
 type Entry[P any] struct {
 	Name    string
 	State   State
+	Started Time // its process's start as the source tells it, Unix time; 0: not told
 	Payload P
 }
 
@@ -51,6 +51,8 @@
 	// before it is doubted; from giveUpIn on the neighbour's word holds.
 	confirmIn = 500 * time.Millisecond
 	giveUpIn  = 1200 * time.Millisecond
+
+	never = Time(math.MaxInt64)
 )
 
 // List is what holds of the words of a node's sources: the configuration, its own source
@@ -59,17 +61,19 @@
 type List[P any] struct {
 	entries    map[string]Entry[P]
 	generation uint64
-	toldAt     Time // when the own source told it; 0: it did not yet
-	lost       bool // the own source is not heard
-	caughtUp   Time // until when what leaves is told to neighbours
-	words      map[string]bool
+	toldAt     Time            // when the own source told it; 0: it did not yet
+	lost       bool            // the own source is not heard
+	caughtUp   Time            // until when what leaves is told to neighbours
+	words      map[string]Time // servers left out by neighbours' words: until when; never: until the own source is heard
+	starts     map[string]Time // later starts that neighbours told, as their source told them
+	changes    changes
 	unsaid     map[string]Time // what neighbours said and the own source, which is heard, did not yet: since when
 	doubted    bool            // it has been doubted for that
 }
 
 // NewList makes a list of nothing.
 func NewList[P any]() *List[P] {
-	return &List[P]{entries: map[string]Entry[P]{}, words: map[string]bool{}, unsaid: map[string]Time{}}
+	return &List[P]{entries: map[string]Entry[P]{}, words: map[string]Time{}, starts: map[string]Time{}, unsaid: map[string]Time{}}
 }
 
 // Generation is that of what holds.
@@ -84,10 +88,10 @@
 // Take takes what a source says. left names the servers that neighbours are to be told of:
 // they were up and are not any more.
 func (l *List[P]) Take(now Time, kind Kind, generation uint64, entries []Entry[P]) (left []string) {
-	before := map[string]bool{}
+	before := map[string]Time{} // of those that are up: their starts
 	for name, e := range l.entries {
 		if e.State == Up {
-			before[name] = true
+			before[name] = e.Started
 		}
 	}
 	if kind != Changes {
@@ -102,24 +106,49 @@
 	}
 	l.generation, l.doubted = generation, false
 	clear(l.words) // what it says is later
+	clear(l.starts)
 	clear(l.unsaid)
 	if kind == Known {
 		return nil
 	}
+	left = l.noteChanges(before)
 	if l.toldAt = now; l.lost {
 		l.lost, l.caughtUp = false, now+catchUp
 	}
 	if now >= l.caughtUp {
 		return nil
 	}
+	return left
+}
+
+// noteChanges remembers for neighbours what differs from the servers that were up before, and gives the
+// names of those that are not up any more.
+func (l *List[P]) noteChanges(before map[string]Time) (left []string) {
 	for name := range before {
 		if e, listed := l.entries[name]; !listed || e.State != Up {
 			left = append(left, name)
 		}
 	}
+	slices.Sort(left)
+	for _, name := range left {
+		l.changes.note(Change{Name: name, Generation: l.generation})
+	}
+	if len(before) == 0 {
+		return left // all are new
+	}
+	for _, name := range slices.Sorted(maps.Keys(l.entries)) {
+		e := l.entries[name]
+		if was, known := before[name]; e.State == Up && e.Started != 0 && (!known || e.Started > was) {
+			l.changes.note(Change{Name: name, Generation: l.generation, Started: e.Started})
+		}
+	}
 	return left
 }
 
+// Since gives what the own source has said after a generation of servers that left or were restarted, as
+// far as it is remembered; the latest of each server.
+func (l *List[P]) Since(generation uint64) []Change { return l.changes.since(generation) }
+
 // Overhear takes a list that another process of the same node was told; handoff.Follows
 // tells whether it goes before what holds.
 func (l *List[P]) Overhear(generation uint64, toldAt Time, entries []Entry[P]) {
@@ -130,24 +159,50 @@
 // Lose takes that the own source is not heard.
 func (l *List[P]) Lose() { l.lost = true }
 
+// Lost tells whether the own source is not heard.
+func (l *List[P]) Lost() bool { return l.lost }
+
 // Move takes that the own source is at another address: generations begin anew.
-func (l *List[P]) Move() { l.generation, l.lost = 0, true }
+func (l *List[P]) Move() { l.generation, l.lost, l.changes = 0, true, nil }
 
 // Hear takes a neighbour's word that servers leave. It holds at once while the own source
 // is not heard, else if that does not say something soon, and until it does. It tells
 // whether that changes anything now.
 func (l *List[P]) Hear(now Time, names []string) (changed bool) {
 	if l.lost {
-		return l.leave(names)
+		return l.leave(names, never)
 	}
 	for _, name := range names {
-		if e, listed := l.entries[name]; listed && e.State == Up && !l.words[name] && l.unsaid[name] == 0 {
+		if e, listed := l.entries[name]; listed && e.State == Up && !l.Out(name) && l.unsaid[name] == 0 {
 			l.unsaid[name] = max(1, now)
 		}
 	}
 	return false
 }
 
+// HearStarts takes a neighbour's word that servers were restarted, while the own source is not heard. Such
+// a server was gone, which this process was not told, and is back, which counts as told after Told at the
+// latest: until then it is left out, and after it it is used as one that started then. It tells whether that
+// changes anything now.
+func (l *List[P]) HearStarts(now Time, restarted []Change) (changed bool) {
+	if !l.lost {
+		return false
+	}
+	for _, c := range restarted {
+		e, listed := l.entries[c.Name]
+		if !listed || e.State != Up || c.Started <= max(e.Started, l.starts[c.Name]) || e.Started == 0 {
+			continue
+		}
+		l.starts[c.Name], changed = c.Started, true
+		l.leave([]string{c.Name}, now+Told)
+	}
+	return changed
+}
+
+// Started is the start of a server as a neighbour told it; 0: no neighbour told of a later one than the own
+// source.
+func (l *List[P]) Started(name string) Time { return l.starts[name] }
+
 // Check is to be called now and then: doubt tells that the own source, which should have
 // said by now what a neighbour did, is to be asked; changed that the word holds now.
 func (l *List[P]) Check(now Time) (doubt, changed bool) {
@@ -162,64 +217,43 @@
 		}
 	}
 	slices.Sort(names)
-	return doubt, l.leave(names)
+	changed = l.leave(names, never)
+	for name, until := range l.words {
+		if now >= until {
+			delete(l.words, name)
+			changed = true
+		}
+	}
+	return doubt, changed
 }
 
-// leave has words of neighbours hold, as far as they leave enough servers in use.
-func (l *List[P]) leave(names []string) (changed bool) {
+// leave has words of neighbours hold for a time, as far as they leave enough servers in use.
+func (l *List[P]) leave(names []string, until Time) (changed bool) {
 	up, out := 0, 0
 	for name, e := range l.entries {
 		if e.State == Up {
-			if up++; l.words[name] {
+			if up++; l.Out(name) {
 				out++
 			}
 		}
 	}
 	most := up - int(math.Ceil(leastLeft*float64(up)))
 	for _, name := range names {
-		if e, listed := l.entries[name]; listed && e.State == Up && !l.words[name] && out < most {
-			l.words[name], changed = true, true
+		e, listed := l.entries[name]
+		switch {
+		case !listed || e.State != Up:
+		case l.Out(name):
+			l.words[name] = max(l.words[name], until)
+		case out < most:
+			l.words[name], changed = until, true
 			out++
 		}
 	}
 	return changed
 }
 
-// Words is how many servers are not to be used by neighbours' words.
-func (l *List[P]) Words() int { return len(l.words) }
+// Words is how many servers are left out, or have other starts, by neighbours' words.
+func (l *List[P]) Words() int { return max(len(l.words), len(l.starts)) }
 
 // Out tells whether a server is not to be used by a neighbour's word.
-func (l *List[P]) Out(name string) bool { return l.words[name] }
-
-// Words are how neighbours tell one another of servers that leave: a byte that names the
-// form, then a key of four bytes for each server, in network order.
-const (
-	form = 0xB3
-	// MostWords is how many a datagram of 256 bytes holds.
-	MostWords = (256 - 1) / 4
-)
-
-var errForm = errors.New("membership: no words of servers that leave")
-
-// Ours tells whether a datagram is one of this package's.
-func Ours(data []byte) bool { return len(data) > 0 && data[0] == form }
-
-// EncodeWords words the keys of servers that leave, MostWords at most.
-func EncodeWords(keys []uint32) []byte {
-	out := []byte{form}
-	for _, k := range keys[:min(len(keys), MostWords)] {
-		out = binary.BigEndian.AppendUint32(out, k)
-	}
-	return out
-}
-
-// DecodeWords reads them.
-func DecodeWords(data []byte) (keys []uint32, err error) {
-	if !Ours(data) || len(data)%4 != 1 || len(data) < 5 || len(data) > 1+4*MostWords {
-		return nil, errForm
-	}
-	for b := data[1:]; len(b) > 0; b = b[4:] {
-		keys = append(keys, binary.BigEndian.Uint32(b))
-	}
-	return keys, nil
-}
+func (l *List[P]) Out(name string) bool { return l.words[name] != 0 }
--- a/membership/list_test.go
+++ b/membership/list_test.go
@@ -82,6 +82,50 @@
 	}
 }
 
+// A server that was restarted while the own source was not heard is left out until its return counts as told,
+// and is then as cold as it is; the own source's next word goes before that.
+func TestARestartThatNeighboursTellOf(t *testing.T) {
+	const at, older, later = 20 * time.Second, time.Hour, 2 * time.Hour
+	list := func() *List[int] {
+		l := NewList[int]()
+		l.Take(0, Whole, 3, []Entry[int]{{Name: "s0", Started: older}, {Name: "s1", Started: older}, {Name: "s2"}, {Name: "s3", State: Draining, Started: older}})
+		return l
+	}
+	teller := list()
+	teller.Take(at, Changes, 5, []Entry[int]{{Name: "s0", Started: later}, {Name: "s2", Started: later}, {Name: "s3", Started: later}, {Name: "s1", State: Removed}})
+	told := teller.Since(3)
+	want := []Change{{"s1", 5, 0}, {"s0", 5, later}, {"s2", 5, later}, {"s3", 5, later}}
+	if !slices.Equal(told, want) || len(teller.Since(5)) > 0 {
+		t.Fatalf("told %v", told)
+	}
+	hearer := list()
+	if hearer.HearStarts(at, told) {
+		t.Error("taken while the own source is heard")
+	}
+	hearer.Lose()
+	if !hearer.HearStarts(at, told) || hearer.HearStarts(at+time.Second, told) {
+		t.Error("not taken once")
+	}
+	for _, x := range []struct {
+		name    string
+		out     bool
+		started Time
+	}{{"s0", true, later}, {"s1", false, 0}, {"s2", false, 0}, {"s3", false, 0}} { // s2: its older start is not known
+		if hearer.Out(x.name) != x.out || hearer.Started(x.name) != x.started {
+			t.Errorf("%s is out: %v, started %v", x.name, hearer.Out(x.name), hearer.Started(x.name))
+		}
+	}
+	if _, changed := hearer.Check(at + Told - 1); changed || !hearer.Out("s0") {
+		t.Error("used before its return counts as told")
+	}
+	if _, changed := hearer.Check(at + Told); !changed || hearer.Out("s0") || hearer.Started("s0") != later {
+		t.Error("not used again, or as if it were warm")
+	}
+	if hearer.Take(at+2*Told, Changes, 6, nil); hearer.Words() > 0 || hearer.Started("s0") != 0 {
+		t.Error("a neighbour's word outlasts what the own source says")
+	}
+}
+
 // Whatever sources and neighbours say: what the own source has last is what it lists, words
 // take no more than their part of what is up, and none of them outlasts what the own source
 // says next.
@@ -94,7 +138,7 @@
 			case 0, 1:
 				var entries []Entry[int]
 				for _, n := range rapid.SliceOfN(rapid.SampledFrom(names(12)), 0, 12).Draw(t, "named") {
-					entries = append(entries, Entry[int]{Name: n, State: State(rapid.IntRange(0, 2).Draw(t, "state"))})
+					entries = append(entries, Entry[int]{Name: n, State: State(rapid.IntRange(0, 2).Draw(t, "state")), Started: 1})
 				}
 				kind := Kind(rapid.IntRange(0, 2).Draw(t, "kind"))
 				if kind != Changes {
@@ -124,6 +168,7 @@
 				l.Move()
 			case 4:
 				l.Hear(now, rapid.SliceOfN(rapid.SampledFrom(names(12)), 1, 12).Draw(t, "words"))
+				l.HearStarts(now, []Change{{Name: rapid.SampledFrom(names(12)).Draw(t, "restarted"), Started: now}})
 				l.Check(now + time.Duration(rapid.IntRange(0, 2000).Draw(t, "check"))*time.Millisecond)
 			}
 			ups, out := 0, 0
@@ -144,13 +189,15 @@
 	})
 }
 
-func FuzzWords(f *testing.F) {
-	f.Add(EncodeWords([]uint32{1, math.MaxUint32}))
-	f.Add([]byte{form})
+// What is read is what a node sends: it is written back alike.
+func FuzzDatagrams(f *testing.F) {
+	f.Add(Encode(Left{1, math.MaxUint32}))
+	f.Add(Encode(Question{7}))
+	f.Add(Encode(Started{{1, time.Hour}, {2, time.Minute}}))
+	f.Add([]byte{formLeft})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		keys, err := DecodeWords(data)
-		if err == nil && (len(keys) == 0 || len(keys) > MostWords || string(EncodeWords(keys)) != string(data)) {
-			t.Fatalf("%v of %x", keys, data)
+		if d, err := Decode(data); err == nil && string(Encode(d)) != string(data) {
+			t.Fatalf("%v of %x", d, data)
 		}
 	})
 }
