Control service: accepts, disks and clocks that fail hold up nothing; Unix time from one place

Cause: an accept that failed ended the service, a write of its list held up the loop that passes drains on, and ages of servers rested on the wall clock alone.

Change: internal/accept, internal/durable off the loop, internal/logsink, membership.Starts with discovery's Date. internal/arch forbids reading Unix time outside internal/wallclock.

--- a/cmd/ivylock-control/main.go
+++ b/cmd/ivylock-control/main.go
@@ -12,9 +12,11 @@
 	"net"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"barrowscale/internal/control"
+	"barrowscale/internal/logsink"
 	"barrowscale/internal/operator"
 )
 
@@ -52,7 +54,10 @@
 	if f.Control == nil {
 		return faulty{fmt.Errorf("%s:1: there is no section [control]; add one, see docs/xds.md", path)}
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	var dropped atomic.Int64
+	lines := logsink.Stderr(&dropped)
+	defer lines.Flush(logsink.ExitTime)
+	log := slog.New(slog.NewTextHandler(lines, nil))
 	s, err := control.New(f.Control, f.Fleet, log)
 	if err != nil {
 		if f.Control.Cert != "" {
--- a/cmd/ivylock-control/main_test.go
+++ b/cmd/ivylock-control/main_test.go
@@ -144,3 +144,32 @@
 		t.Errorf("it ended with %v", err)
 	}
 }
+
+// A log whose reader is gone ends nothing: it reloads, and ends at SIGTERM with 0.
+func TestALogThatIsGoneEndsNothing(t *testing.T) {
+	path := file(t, good)
+	said, theirs, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program, "-config", path)
+	cmd.Stderr = theirs
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	theirs.Close()
+	serves := false
+	for s := bufio.NewScanner(said); !serves && s.Scan(); {
+		serves = strings.Contains(s.Text(), "msg=serves")
+	}
+	said.Close()
+	for range 3 {
+		cmd.Process.Signal(syscall.SIGHUP) // which is logged
+		time.Sleep(20 * time.Millisecond)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil || !serves {
+		t.Errorf("served: %v; it ended with %v", serves, err)
+	}
+}
--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -18,6 +18,7 @@
 // that counts of it, where its other files put a model on sockets.
 var decide = map[string]string{
 	"balance":              "",
+	"guard":                "",
 	"fleet/version":        "",
 	"fleet/follow":         "",
 	"fleet/audit":          "",
@@ -126,3 +127,39 @@
 		}
 	}
 }
+
+// steady are the packages in which time is measured and not read off the wall: Unix time
+// comes from internal/wallclock alone, but for times that others word.
+var steady = []string{"internal/node", "internal/front", "internal/backend", "internal/discovery", "internal/handover", "internal/console",
+	"internal/control", "internal/accept", "internal/durable", "internal/eventlog", "internal/invariant", "internal/xds", "cmd/ivylock", "cmd/ivylock-control"}
+
+// wordedTimes are the files that turn another process's Unix time into the program's.
+var wordedTimes = map[string]bool{"internal/node/servers.go": true, "internal/control/list.go": true}
+
+func TestUnixTimeComesFromOnePlace(t *testing.T) {
+	unix := map[string]bool{"Unix": true, "UnixMilli": true, "UnixMicro": true, "UnixNano": true}
+	for _, dir := range steady {
+		files, err := filepath.Glob(filepath.Join("..", "..", filepath.FromSlash(dir), "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %v, %v", dir, files, err)
+		}
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") || wordedTimes[dir+"/"+filepath.Base(name)] {
+				continue
+			}
+			fset := token.NewFileSet()
+			f, err := parser.ParseFile(fset, name, nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ast.Inspect(f, func(n ast.Node) bool {
+				if x, is := n.(*ast.SelectorExpr); is && unix[x.Sel.Name] {
+					if id, is := x.X.(*ast.Ident); !is || id.Name != "time" { // time.Unix makes a time
+						t.Errorf("%s reads the wall clock; take internal/wallclock", fset.Position(x.Pos()))
+					}
+				}
+				return true
+			})
+		}
+	}
+}
--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -12,14 +12,14 @@
 	"barrowscale/balance"
 	fleetversion "barrowscale/fleet/version"
 	"barrowscale/internal/discovery"
+	"barrowscale/internal/wallclock"
 	"barrowscale/membership"
 	"barrowscale/steer"
 )
 
 const (
 	maxEvents = 4096 // that wait; a reporter waits when it is full
-	saveEvery = time.Second
-	warnAfter = 3 // failures in a row after which the log says so
+	warnAfter = 3    // failures in a row after which the log says so
 
 	// Whoever stands still longer than this may have missed a drain: under a
 	// lease, and well under the 500 ms in which a drain must be kept.
@@ -46,18 +46,22 @@
 // Engine runs one steer.Module. All of the module happens on the goroutine of
 // Run; Post may be called from any.
 type Engine struct {
-	cfg     Config
-	module  *steer.Module
-	events  chan any
-	ended   chan struct{}
-	start   time.Time
-	list    list
-	client  *discovery.Client
-	turned  atomic.Int64 // when the loop last turned, by now
-	failed  int
-	savedAt time.Time
-	unsaved bool
-	probes  chan struct{} // one for each probe that is out
+	cfg      Config
+	write    func(path string, entries []discovery.Entry) error
+	module   *steer.Module
+	events   chan any
+	ended    chan struct{}
+	clock    wallclock.Steady
+	list     list
+	client   *discovery.Client
+	turned   atomic.Int64 // when the loop last turned, by now
+	failed   int
+	savedAt  time.Time
+	unsaved  bool
+	writing  chan struct{} // closed when the write of the list that is out has ended; nil: none is
+	starts   membership.Starts
+	listedAt membership.Time // when discovery told a list last; 0: never
+	probes   chan struct{}   // one for each probe that is out
 
 	// Published counts states, Urgent those that went before all else; LeftOut
 	// counts servers, proxies and load entries beyond a bound or unknown.
@@ -73,7 +77,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	e := &Engine{cfg: cfg, module: m, events: make(chan any, maxEvents), ended: make(chan struct{}), start: time.Now(),
+	e := &Engine{cfg: cfg, write: writeList, module: m, events: make(chan any, maxEvents), ended: make(chan struct{}), clock: wallclock.NewSteady(),
 		probes: make(chan struct{}, 64), list: list{entries: map[string]discovery.Entry{}}}
 	return e, nil
 }
@@ -92,7 +96,7 @@
 // zero is the module's clock at the engine's start: 0 itself means never.
 const zero = time.Hour
 
-func (e *Engine) now() steer.Time { return time.Since(e.start) + zero }
+func (e *Engine) now() steer.Time { return e.clock.Since() + zero }
 
 // Run works until the context ends.
 func (e *Engine) Run(ctx context.Context) {
@@ -101,11 +105,12 @@
 		if kept, err := readList(e.cfg.ListFile); err != nil {
 			e.cfg.Log.Warn("the kept list was not read", "err", err)
 		} else if len(kept) > 0 {
-			e.handle(ctx, steer.Listed{Kind: steer.Cached, Servers: servers(kept, e.start)})
+			e.handle(ctx, steer.Listed{Kind: steer.Cached, Servers: e.servers(kept, time.Time{})})
 		}
 	}
 	e.discover()
 	defer func() { e.client.Close() }()
+	defer e.saveEnds()
 	tick := time.NewTicker(steer.TickEvery)
 	defer tick.Stop()
 	e.turned.Store(int64(e.now()))
@@ -123,6 +128,8 @@
 			e.save()
 		case x := <-e.events:
 			switch x := x.(type) {
+			case saved:
+				e.saved(x)
 			case discovery.News:
 				if x.From == e.client {
 					e.news(ctx, x)
@@ -153,7 +160,7 @@
 
 // discover begins to call discovery, for the whole list first.
 func (e *Engine) discover() {
-	e.client = discovery.New(e.cfg.Discovery, membership.Settings{Seed: e.start.UnixNano()}, membership.Start{}, func(n discovery.News) { e.post(n) })
+	e.client = discovery.New(e.cfg.Discovery, membership.Settings{Seed: int64(e.clock.Origin())}, membership.Start{}, func(n discovery.News) { e.post(n) })
 }
 
 // news takes what discovery brought.
@@ -172,7 +179,8 @@
 	if e.cfg.Listed != nil {
 		e.cfg.Listed(e.list.vector(), all)
 	}
-	e.handle(ctx, steer.Listed{Kind: steer.Full, Servers: servers(all, e.start)})
+	e.handle(ctx, steer.Listed{Kind: steer.Full, Servers: e.servers(all, n.List.Date)})
+	e.listedAt = e.clock.Now()
 }
 
 // handle feeds the module and does what it says.
@@ -211,14 +219,3 @@
 		e.post(steer.Probed{Server: id, OK: good, Elapsed: time.Since(began)})
 	}()
 }
-
-// save keeps the list, at most once a second and off no request's path.
-func (e *Engine) save() {
-	if e.cfg.ListFile == "" || !e.unsaved || time.Since(e.savedAt) < saveEvery {
-		return
-	}
-	e.unsaved, e.savedAt = false, time.Now()
-	if err := writeList(e.cfg.ListFile, e.list.all()); err != nil {
-		e.cfg.Log.Warn("the list was not kept", "err", err)
-	}
-}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -16,6 +16,7 @@
 	"barrowscale/fleet/version"
 	"barrowscale/internal/build"
 	"barrowscale/internal/operator"
+	"barrowscale/internal/wallclock"
 )
 
 const (
@@ -32,7 +33,7 @@
 	conn   net.PacketConn
 	ranges []netip.Prefix
 	wake   time.Duration // a gap in the ticks that counts as a stop
-	start  time.Time
+	clock  wallclock.Steady
 	mu     sync.Mutex
 	member *member.Member
 	turnAt version.Time
@@ -52,7 +53,7 @@
 	cfg.Follow.Watch = true
 	cfg.Name, cfg.Self, cfg.Quotas, cfg.Work, cfg.Seeds = c.Name, c.FleetID, false, false, c.Seeds()
 	cfg.Addr, cfg.Build = conn.LocalAddr().(*net.UDPAddr).AddrPort(), build.Digest()
-	x := &fleet{log: log, conn: conn, ranges: cfg.Ranges, wake: cfg.Follow.Wake, start: time.Now()}
+	x := &fleet{log: log, conn: conn, ranges: cfg.Ranges, wake: cfg.Follow.Wake, clock: wallclock.NewSteady()}
 	x.turnAt = x.now()
 	cfg.Seed = int64(x.turnAt)
 	x.member = member.New(cfg, x.now())
@@ -61,7 +62,7 @@
 }
 
 // now is monotonic from the start on, with Unix time as its origin.
-func (x *fleet) now() version.Time { return time.Duration(x.start.UnixNano()) + time.Since(x.start) }
+func (x *fleet) now() version.Time { return x.clock.Now() }
 
 // run takes datagrams and ticks until the context ends.
 func (x *fleet) run(ctx context.Context) {
--- a/internal/control/list.go
+++ b/internal/control/list.go
@@ -5,13 +5,15 @@
 	"errors"
 	"io/fs"
 	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
 	"barrowscale/balance"
 	fleetversion "barrowscale/fleet/version"
 	"barrowscale/internal/discovery"
+	"barrowscale/internal/durable"
+	"barrowscale/internal/wallclock"
+	"barrowscale/membership"
 	"barrowscale/steer"
 )
 
@@ -69,19 +71,26 @@
 	return out
 }
 
-// servers puts entries into steer's form. Start times are of the wall clock,
-// told against one fixed reading of it: the same entry has the same time each
-// time. One before the engine's own zero was long ago.
-func servers(entries []discovery.Entry, start time.Time) []steer.Server {
+// servers puts entries into steer's form; date is discovery's own time, if it told that.
+// The same entry has the same start each time. A start before the engine's own zero was
+// long ago.
+func (e *Engine) servers(entries []discovery.Entry, date time.Time) []steer.Server {
+	clocks := membership.Clocks{Now: e.clock.Now(), Wall: wallclock.Now()}
+	if !date.IsZero() {
+		clocks.Source = time.Duration(date.UnixNano())
+	}
 	out := make([]steer.Server, 0, len(entries))
+	listed := map[string]bool{}
 	for _, x := range entries {
+		listed[x.InstanceID] = true
 		started := steer.Time(0)
-		if x.StartedAtMs > 0 {
-			started = max(0, zero+time.UnixMilli(x.StartedAtMs).Sub(start))
+		if at := e.starts.At(x.InstanceID, time.Duration(x.StartedAtMs)*time.Millisecond, e.listedAt, clocks); at > 0 {
+			started = max(0, zero+at-e.clock.Origin())
 		}
 		out = append(out, steer.Server{ID: steer.ServerID(x.InstanceID), Addr: x.HostPort, Zone: x.Zone, Cell: x.Cell,
 			Size: x.Weight, Draining: discovery.Lifecycles[x.Lifecycle] == balance.Draining, StartedAt: started})
 	}
+	e.starts.Keep(func(name string) bool { return listed[name] })
 	return out
 }
 
@@ -113,17 +122,5 @@
 	if err != nil {
 		return err
 	}
-	tmp, err := os.CreateTemp(filepath.Dir(path), ".list-*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(tmp.Name())
-	if _, err := tmp.Write(raw); err != nil {
-		tmp.Close()
-		return err
-	}
-	if err := tmp.Close(); err != nil {
-		return err
-	}
-	return os.Rename(tmp.Name(), path)
+	return durable.Write(path, raw)
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"barrowscale/balance"
+	"barrowscale/internal/accept"
 	"barrowscale/internal/operator"
 	"barrowscale/internal/xds"
 	"barrowscale/steer"
@@ -154,7 +155,7 @@
 			}
 		}
 	}()
-	err = s.Server.Serve(l)
+	err = s.Server.Serve(accept.New(l, nil))
 	cancel()
 	<-done
 	if ctx.Err() != nil {
--- a/internal/control/steered.go
+++ b/internal/control/steered.go
@@ -12,6 +12,7 @@
 	"barrowscale/fleet/version"
 	"barrowscale/internal/discovery"
 	"barrowscale/internal/operator"
+	"barrowscale/internal/wallclock"
 	"barrowscale/internal/xds"
 	"barrowscale/steer"
 )
@@ -27,7 +28,7 @@
 type proxies struct {
 	post    func(steer.Event)
 	log     *slog.Logger
-	start   time.Time
+	steady  wallclock.Steady
 	mu      sync.Mutex
 	table   *steered.Table
 	fleet   *fleet // nil: of none
@@ -40,7 +41,7 @@
 }
 
 func newSteered(c *operator.Control, f *fleet, post func(steer.Event), log *slog.Logger) *proxies {
-	p := &proxies{post: post, log: log, fleet: f, start: time.Now(), clock: &version.Clock{}, known: map[steered.Server]bool{}, there: map[string]bool{}}
+	p := &proxies{post: post, log: log, fleet: f, steady: wallclock.NewSteady(), clock: &version.Clock{}, known: map[steered.Server]bool{}, there: map[string]bool{}}
 	p.rec = version.NewRecorder(c.Name, -1, p.wall(), p.clock)
 	life := p.clock.Last()
 	if f != nil {
@@ -54,13 +55,13 @@
 // wall is the clock of records: monotonic from the start on, with Unix time as its
 // origin.
 func (p *proxies) wall() version.Time {
-	return time.Duration(p.start.UnixNano()) + time.Since(p.start)
+	return p.steady.Now()
 }
 
 func (p *proxies) with(do func(now steered.Time)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	do(time.Since(p.start))
+	do(p.steady.Since())
 }
 
 // listed takes the version of discovery's list and what it withdraws. Where the service
