Lab: a randomized fault soak; times of arrival from the kernel; stop times from the settings

Cause: the lab could not see the incident: it gave its nodes 5 s to end whatever the settings said, its clients opened no connection that they did not use and sent nothing to a node that was told to end. It timed sends and answers when it came to read them, and its links gave up old bytes after a fault.

Change: internal/lab/soak and ivylab soak (10 to 40 real nodes, drawn deployments, faults that overlap, the judge and the nodes' own checks as oracle); clients that send on every open connection up to SIGKILL; SIGKILL by the settings' longest deadline; arrival times from the kernel; black holes that drop what they hold; clock steps in a build with the tag faults.

--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -51,7 +51,11 @@
 
 // Limits are the figures of the four rules.
 type Limits struct {
-	Slack      time.Duration `json:"slack"`       // on every limit of time: what sockets may take
+	Slack time.Duration `json:"slack"` // on every limit of time: what sockets may take
+	// AnswerSlack is how long after its client's time an answer only earns nothing; 0: Slack.
+	AnswerSlack time.Duration `json:"answer_slack,omitempty"`
+	// LeaveSlack is how long after its client has left an attempt may still begin; 0: Slack.
+	LeaveSlack time.Duration `json:"leave_slack,omitempty"`
 	DrainGrace time.Duration `json:"drain_grace"` // after the word of a drain
 	ToldLatest time.Duration `json:"told_latest"` // a change counts as told so long after it could be asked for; 0: only when told
 	KeyWindow  time.Duration `json:"key_window"`  // how long a pod remembers a key
@@ -94,34 +98,40 @@
 
 // The kinds. The fields that each uses stand behind it.
 const (
-	Ask        Kind = "ask"        // Order, Class: a client wants something, whether or not a node takes it
-	Try        Kind = "try"        // Order, Try, Class, Node, Number, Deadline: the request's last byte is written
-	Answer     Kind = "answer"     // Try, Status, Server: the answer's last byte, or the end of waiting for it
-	Extra      Kind = "extra"      // Try: more came on the connection behind the answer
-	Attempt    Kind = "attempt"    // Try, Node, Server, Work, First, Verdict: its last byte reached a clip server
-	Run        Kind = "run"        // Try, Server, Work, Key: the effect began
-	Repeat     Kind = "repeat"     // Try, Server, Key: dropped, as the pod had met the key
-	Probe      Kind = "probe"      // Node, Server, Work
-	Connect    Kind = "connect"    // Node, Server: a connection came up
-	Disconnect Kind = "disconnect" // Node, Server
-	Start      Kind = "start"      // Server, Capacity, Cores, ColdFrom, ColdTime: a process started
-	Fell       Kind = "fell"       // Server: pushed over
-	Change     Kind = "change"     // Server, Lifecycle: discovery knows, and may be asked
-	Told       Kind = "told"       // Node, Server, Lifecycle: discovery's answer was written to that node
-	NodeUp     Kind = "node-up"    // Node: it answered /up
-	NodeTerm   Kind = "node-term"  // Node: told to end
-	NodeKilled Kind = "node-kill"  // Node: killed outright
-	NodeEnded  Kind = "node-end"   // Node: it ended by itself
-	Asked      Kind = "asked"      // Node: its call came to discovery
-	Hindered   Kind = "hindered"   // Node: a datagram that it sent is lost, late or doubled on purpose
-	NodeStop   Kind = "node-stop"  // Node: it stands still
-	NodeCont   Kind = "node-cont"  // Node: it goes on
-	Message    Kind = "message"    // Node, Bytes: a datagram to one receiver
-	Spoilt     Kind = "spoilt"     // Try, Server: its answer is spoilt on purpose
-	Slow       Kind = "slow"       // Try: its client reads the answer slowly
-	Forgot     Kind = "forgot"     // discovery began again at a lower version
-	Fault      Kind = "fault"      // Note: a fault of the timeline begins
-	FaultEnd   Kind = "fault-end"  // Note
+	Ask        Kind = "ask"            // Order, Class: a client wants something, whether or not a node takes it
+	Try        Kind = "try"            // Order, Try, Class, Node, Number, Deadline: the request's last byte is written
+	Answer     Kind = "answer"         // Try, Status, Server: the answer's last byte, or the end of waiting for it
+	Extra      Kind = "extra"          // Try: more came on the connection behind the answer
+	Attempt    Kind = "attempt"        // Try, Node, Server, Work, First, Verdict: its last byte reached a clip server
+	Run        Kind = "run"            // Try, Server, Work, Key: the effect began
+	Repeat     Kind = "repeat"         // Try, Server, Key: dropped, as the pod had met the key
+	Probe      Kind = "probe"          // Node, Server, Work
+	Connect    Kind = "connect"        // Node, Server: a connection came up
+	Disconnect Kind = "disconnect"     // Node, Server
+	Start      Kind = "start"          // Server, Capacity, Cores, ColdFrom, ColdTime: a process started
+	Fell       Kind = "fell"           // Server: pushed over
+	Change     Kind = "change"         // Server, Lifecycle: discovery knows, and may be asked
+	Told       Kind = "told"           // Node, Server, Lifecycle: discovery's answer was written to that node
+	NodeUp     Kind = "node-up"        // Node: it answered /up
+	NodeTerm   Kind = "node-term"      // Node: told to end
+	NodeKilled Kind = "node-kill"      // Node: killed outright
+	NodeEnded  Kind = "node-end"       // Node: it ended by itself
+	Asked      Kind = "asked"          // Node: its call came to discovery
+	Hindered   Kind = "hindered"       // Node: a datagram that it sent is lost, late or doubled on purpose
+	NodeOver   Kind = "node-over"      // Node: it still ran when its time to end was up, and was killed
+	NodeCrash  Kind = "node-crash"     // Node: it ended though nobody told it to
+	Reloaded   Kind = "reloaded"       // Node: a new configuration, with another address of discovery
+	Silenced   Kind = "silenced"       // Node: its open watch falls silent
+	NoFiles    Kind = "no-descriptors" // Node: its process gets no further descriptor for a while
+	IdleClosed Kind = "idle-close"     // Server: it closed its idle connections
+	NodeStop   Kind = "node-stop"      // Node: it stands still
+	NodeCont   Kind = "node-cont"      // Node: it goes on
+	Message    Kind = "message"        // Node, Bytes: a datagram to one receiver
+	Spoilt     Kind = "spoilt"         // Try, Server: its answer is spoilt on purpose
+	Slow       Kind = "slow"           // Try: its client reads the answer slowly
+	Forgot     Kind = "forgot"         // discovery began again at a lower version
+	Fault      Kind = "fault"          // Note: a fault of the timeline begins
+	FaultEnd   Kind = "fault-end"      // Note
 )
 
 // Status is how a try ended for its client.
@@ -137,6 +147,7 @@
 	GaveUp      Status = "gave-up"     // nothing until the client's time was over
 	Left        Status = "left"        // the client went away early, of its own will
 	Unreachable Status = "unreachable" // no node took it
+	Crossed     Status = "crossed"     // its connection, between requests or unused, ended in that moment: nobody may have read it
 )
 
 // Verdict is what a clip server did with an attempt.
--- a/internal/lab/hosts/service.go
+++ b/internal/lab/hosts/service.go
@@ -29,10 +29,12 @@
 	timer   *time.Timer
 	down    bool
 	unsaid  []Entry // what it has learnt while it was down
+	said    List    // what could be asked for last, while it is down
 	lag     time.Duration
 	calls   int
 	servers []*http.Server
 	told    map[string]map[string]bool // by node: servers told that are not gone
+	waits   map[string]map[*call]bool  // by node: calls that wait
 	apart   map[string]bool            // nodes that another discovery speaks to
 	other   func(List) List            // what that one says in place of a list; nil: there is none
 }
@@ -40,7 +42,7 @@
 // NewService makes a service with an empty list of a version.
 func NewService(generation uint64, clock func() time.Duration, record func(history.Event), addr func(node, server string) string) *Service {
 	s := &Service{clock: clock, record: record, addr: addr, list: NewRegistry(generation), news: make(chan struct{}),
-		told: map[string]map[string]bool{}}
+		told: map[string]map[string]bool{}, waits: map[string]map[*call]bool{}}
 	s.timer = time.AfterFunc(time.Hour, s.advance)
 	return s
 }
@@ -81,6 +83,9 @@
 func (s *Service) SetDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if down && !s.down {
+		s.said = s.list.All()
+	}
 	if s.down = down; !down {
 		s.say(s.unsaid)
 		s.unsaid = nil
@@ -96,6 +101,21 @@
 	}
 }
 
+// call is one that waits for news.
+type call struct{ silent bool }
+
+// Silence has the calls of some nodes that wait now fall silent: they are never answered.
+func (s *Service) Silence(nodes []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range nodes {
+		for c := range s.waits[n] {
+			c.silent = true
+		}
+		s.record(history.Event{At: s.clock(), Kind: history.Silenced, Node: n})
+	}
+}
+
 // Restart makes it begin again at a version; watches end.
 func (s *Service) Restart(generation uint64) {
 	s.SetDown(true)
@@ -126,11 +146,14 @@
 	return s.list.Generation()
 }
 
-// Known is the list as a node is told it before its start.
+// Known is the list as a node is told it before its start: as it could be asked for last.
 func (s *Service) Known(node string) List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.told[node] = map[string]bool{}
+	if s.down {
+		return s.word(node, s.said)
+	}
 	return s.word(node, s.list.All())
 }
 
@@ -192,6 +215,12 @@
 	s.calls++
 	s.record(history.Event{At: s.clock(), Kind: history.Asked, Node: node})
 	defer func() { s.calls-- }()
+	own := &call{}
+	if s.waits[node] == nil {
+		s.waits[node] = map[*call]bool{}
+	}
+	s.waits[node][own] = true
+	defer delete(s.waits[node], own)
 	for over := false; watch && !over && !s.down && s.generation(node) == from; {
 		news := s.news
 		s.mu.Unlock()
@@ -203,6 +232,12 @@
 			over = true
 		}
 		s.mu.Lock()
+		if own.silent {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			s.mu.Lock()
+			return
+		}
 	}
 	if s.down {
 		http.Error(w, "discovery is down", http.StatusServiceUnavailable)
--- a/internal/lab/hosts/service_test.go
+++ b/internal/lab/hosts/service_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// A node that starts while the service is down has the list that could be asked for last, not what nobody was told yet.
+func TestWhatIsLearntInAnOutageIsNotKnownAtAStart(t *testing.T) {
+	r := newRig(t)
+	r.Set(Entry{InstanceID: "a", Lifecycle: Draining})
+	r.SetDown(true)
+	r.SetDown(true)
+	r.Set(Entry{InstanceID: "a", Lifecycle: Up})
+	if l := r.Known("n1"); l.Generation != 41 || l.Instances[0].Lifecycle != Draining {
+		t.Errorf("in the outage: %+v", l)
+	}
+	r.SetDown(false)
+	if l := r.Known("n1"); l.Generation != 42 || l.Instances[0].Lifecycle != Up {
+		t.Errorf("after it: %+v", l)
+	}
+}
+
 func TestAnOutageEndsWatchesAndARestartGivesTheWholeList(t *testing.T) {
 	r := newRig(t)
 	r.Set(Entry{InstanceID: "a", Lifecycle: Up})
--- a/internal/lab/real/real_test.go
+++ b/internal/lab/real/real_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/holds"
 	"barrowscale/internal/lab/judge"
 	"barrowscale/internal/lab/scenario"
@@ -58,6 +59,14 @@
 	for _, line := range holds.Check(s, got, &v) {
 		t.Error(line)
 	}
+	for _, a := range h.Alarms() {
+		t.Errorf("%s: %s", a.Node, a.Line)
+	}
+	for i := range got.Events {
+		if e := &got.Events[i]; e.Kind == history.NodeOver {
+			t.Errorf("%s still ran when its time to end was up, at %v", e.Node, e.At)
+		}
+	}
 }
 
 const halls = `
--- a/internal/lab/real/run.go
+++ b/internal/lab/real/run.go
@@ -124,6 +124,13 @@
 	return o
 }
 
+// Sent tells how many requests were sent on connections of nodes that were told to end,
+// and how many of them crossed the end of an unused connection.
+func (h *Hall) Sent() (late, crossed int) {
+	st := h.clients.Stats()
+	return st.Late, st.Crossed
+}
+
 // Row is a server as a screen shows it.
 type Row struct {
 	Name, Hall, Kind, State string
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -42,6 +42,9 @@
 	TryShare float64 `toml:"try_share,omitempty"` // of the deadline, after which a try is given up: 0.5 to 0.8; 0: 0.65
 	Backoff  Span    `toml:"backoff,omitempty"`   // the first wait, which doubles
 	Honour   float64 `toml:"honour,omitempty"`    // share of clients that follow Retry-After, 0 to 1
+	Leaves   float64 `toml:"leaves,omitempty"`    // share of tries whose client goes away early, 0 to 1
+	Pieces   float64 `toml:"pieces,omitempty"`    // share of tries that are written slowly, in pieces, 0 to 1
+	Late     int     `toml:"late,omitempty"`      // connections of each kind to a node that is told to end, on which requests are sent until it is killed: 0 to 20
 }
 
 // Hosts is how discovery behaves.
@@ -91,6 +94,12 @@
 	WhatSplit     = "split"             // no datagram passes between some nodes and the others
 	WhatJoin      = "join"              // nodes start that did not run, with newer settings; for good
 	WhatLeave     = "leave"             // nodes end in order, for good
+	WhatHold      = "hold"              // a node's process stands still for 0.15 s at most, also while another fault acts on it
+	WhatReload    = "reload"            // a node gets a new configuration (SIGHUP), with another address of discovery
+	WhatMute      = "watch-silent"      // the open watches of nodes fall silent
+	WhatIdle      = "idle-close"        // servers close their idle connections
+	WhatClock     = "clock-step"        // the wall clock of nodes' machines steps, for good; wants nodes built with -tags faults
+	WhatNoFiles   = "no-descriptors"    // a node's process gets no further descriptor (EMFILE), for 0.15 s at most
 )
 
 // Fault is one thing that goes wrong, from At on for a time.
@@ -103,9 +112,9 @@
 	Part   float64  `toml:"part,omitempty"`   // heavy, spoil, slow-reader: the share that is hit, 0 to 1
 	Factor float64  `toml:"factor,omitempty"` // heavy: multiple of the usual work
 	Every  Span     `toml:"every,omitempty"`  // flap: time between changes
-	Delay  Span     `toml:"delay,omitempty"`  // link: one way; discovery-lag: on top
+	Delay  Span     `toml:"delay,omitempty"`  // link: one way; discovery-lag: on top; clock-step: how far
 	Loss   float64  `toml:"loss,omitempty"`   // link: share of segments lost; each costs a retransmission
-	State  string   `toml:"state,omitempty"`  // link: "", half-open, reset or black-hole; peers: "" or black-hole
+	State  string   `toml:"state,omitempty"`  // link: "", half-open, reset or black-hole; peers: "" or black-hole; clock-step: "" (forward) or back
 	To     []string `toml:"to,omitempty"`     // peers: the other ends; all nodes if empty
 	Way    string   `toml:"way,omitempty"`    // peers: "out" or "in", of who; both if empty
 	Jitter Span     `toml:"jitter,omitempty"` // peers: up to so much on top, so that datagrams overtake one another
