--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -149,3 +149,49 @@
 	defer c.mu.Unlock()
 	return !c.state().Unread
 }
+
+// Where all room is taken by open requests, what waits at the listener when it closes is
+// refused with an answer, or ends with no reset where nothing has come: the kernel would reset
+// it, and a request that a client has sent whole to an accepted connection is taken.
+func TestWhoFindsNoRoomAtAShutdownIsRefused(t *testing.T) {
+	t.Parallel()
+	hang := make(chan bool)
+	b := nodetest.NewRawServer(t, func(c net.Conn, r *http.Request) bool { <-hang; return nodetest.Reply(c, "200 OK", "served") })
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), b.Addr))
+	n.front.SetMost(1)
+	open := dial(t, n.url)
+	io.WriteString(open, get("open"))
+	wait(t, "it is open", func() bool { return n.Count().Open.Load() == 1 })
+	var waiting []net.Conn
+	for i := range 24 {
+		c := dial(t, n.url)
+		if i%3 > 0 {
+			io.WriteString(c, get("w"+string(rune('a'+i))))
+		}
+		waiting = append(waiting, c)
+	}
+	n.stop()
+	for i, c := range waiting {
+		c.SetReadDeadline(time.Now().Add(nodetest.Patience))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		switch {
+		case i%3 > 0 && err != nil:
+			t.Errorf("request %d has no answer: %v", i, err)
+		case i%3 > 0 && (resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == ""):
+			t.Errorf("request %d: %s, %v", i, resp.Status, resp.Header)
+		case i%3 == 0 && !errors.Is(err, io.ErrUnexpectedEOF):
+			t.Errorf("connection %d on which nothing came: %v, %v", i, resp, err)
+		}
+		c.Close()
+	}
+	close(hang)
+	if resp, err := http.ReadResponse(bufio.NewReader(open), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the open request: %v, %v", resp, err)
+	}
+	if err := <-n.ended; err != nil {
+		t.Error(err)
+	}
+	if got := n.front.Connections(); got != 0 {
+		t.Errorf("%d connections are counted", got)
+	}
+}
