A shutdown refuses what waits at the listener where all room is open requests

Cause: the kernel resets what waits at a listener when that closes. A shutdown accepts it first, but waited for room meanwhile, and where all room is open requests there is none. Beside it: a process whose listening socket the platform holds took in, and refused, what the next process would have served; that came with the emptying of the listener.

Change: while the listener is emptied a connection without room is accepted all the same, eight at once, of the descriptors that are kept for the node itself; a request on it gets 503 with Retry-After, one on which nothing comes in 20 ms ends with no word. front.HTTP.SocketKept: nothing is emptied where the platform holds the socket.

--- a/cmd/ivylock/main.go
+++ b/cmd/ivylock/main.go
@@ -98,6 +98,7 @@
 		}
 	}()
 	f := front.New(n, listener, cfg.Settings.Classes, cfg.ClientSockets(), cfg.BodyRoom())
+	f.SocketKept = inherited
 	if inherited {
 		sharing, end := context.WithCancel(context.Background())
 		followed := make(chan struct{})
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -18,29 +18,37 @@
 // fails only once the listening has been ended.
 func (c *clientConns) Accept() (net.Conn, error) {
 	for {
-		if !c.waitForRoom() {
-			return nil, net.ErrClosed
+		room, err := c.waitForRoom()
+		if err != nil {
+			return nil, err
 		}
 		nc, err := c.acceptOnce()
 		switch {
-		case err == nil:
+		case err == nil && room:
 			return c.admit(nc), nil
+		case err == nil:
+			c.turnAway(nc)
 		case errors.Is(err, net.ErrClosed) || c.isEmpty(err):
 			return nil, net.ErrClosed
 		}
 	}
 }
 
-// waitForRoom gives false once the listening has been ended.
-func (c *clientConns) waitForRoom() bool {
+// waitForRoom waits until there is room for one more connection; while the listener is
+// being emptied it does not wait, and tells whether there is. The error is net.ErrClosed
+// once the listening has been ended.
+func (c *clientConns) waitForRoom() (room bool, err error) {
 	for !c.room(time.Now()) {
+		if c.emptying.Load() {
+			return false, nil
+		}
 		select {
 		case <-time.After(roomPause):
 		case <-c.closed:
-			return false
+			return false, net.ErrClosed
 		}
 	}
-	return true
+	return true, nil
 }
 
 // acceptOnce waits for a connection; while the listener is being emptied not for long.
--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -195,3 +195,51 @@
 		t.Errorf("%d connections are counted", got)
 	}
 }
+
+// What waits at a socket that the platform holds is left to the next process.
+func TestWhatWaitsAtAKeptSocketIsLeftToTheNextProcess(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	cfg := nodeConfig(t, nodetest.ClosedAddr(t))
+	n := node.New(cfg)
+	n.SetSchedule(quickSchedule)
+	f := New(n, l, cfg.Settings.Classes, 1, cfg.BodyRoom())
+	f.SocketKept = true
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx, f) }()
+	url := "http://" + l.Addr().String()
+	first := dial(t, url) // takes all room, as it has sent a part of a request
+	io.WriteString(first, "GET ")
+	wait(t, "it is in", func() bool { return f.Connections() == 1 })
+	waiting := dial(t, url)
+	io.WriteString(waiting, get("waits"))
+	stop()
+	next, err := net.FileListener(held)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	next.(*net.TCPListener).SetDeadline(time.Now().Add(nodetest.Patience))
+	<-f.clients.closed
+	c, err := next.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if r, err := http.ReadRequest(bufio.NewReader(c)); err != nil || r.Header.Get("Request-Id") != "waits" {
+		t.Errorf("the next process gets %v, %v", r, err)
+	}
+	first.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -420,14 +420,19 @@
 	}
 	c.lingering = true
 	go func() {
-		c.SetReadDeadline(time.Now().Add(lingerMost))
-		io.Copy(io.Discard, io.LimitReader(c.TCPConn, bounded.MaxLength))
+		c.discardRest()
 		c.TCPConn.Close()
 		c.conns.lingered()
 	}()
 	return nil
 }
 
+// discardRest reads and drops what still comes, for a while.
+func (c *client) discardRest() {
+	c.SetReadDeadline(time.Now().Add(lingerMost))
+	io.Copy(io.Discard, io.LimitReader(c.TCPConn, bounded.MaxLength))
+}
+
 var endOfHead = []byte("\r\n\r\n")
 
 // bodyLength is the Content-Length that a head names; 0 if it names none.
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -33,6 +33,9 @@
 	all   map[*client]bool
 	closing
 
+	turningAway  chan struct{}      // holds one for each connection that is being turned away
+	endingAnswer func() node.Answer // what those are answered
+
 	figures *figures.Set
 	history *eventlog.Log // nil: nothing is kept
 	checker *invariant.Checker
@@ -42,7 +45,7 @@
 func newClientConns(l net.Listener, most int, count *figures.Set, history *eventlog.Log, checker *invariant.Checker) *clientConns {
 	again := accept.New(l, func(err error) { count.AcceptErrors.Add(neterr.Number(err)) })
 	return &clientConns{Listener: again, most: most, fresh: map[net.Conn]time.Time{}, idle: map[net.Conn]time.Time{}, all: map[*client]bool{},
-		closing: closing{emptied: make(chan struct{}), closed: make(chan struct{})}, figures: count, history: history, checker: checker}
+		closing: closing{emptied: make(chan struct{}), closed: make(chan struct{})}, turningAway: make(chan struct{}, mostTurnedAway), figures: count, history: history, checker: checker}
 }
 
 // room tells whether there is room, and makes some if there is none.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -50,6 +50,10 @@
 
 // HTTP is the front. Its methods may be called from several goroutines.
 type HTTP struct {
+	// SocketKept says that the platform holds the listening socket: what waits at it when this
+	// process closes it is not reset, and the next process takes it. It is set before Serve.
+	SocketKept bool
+
 	node      *node.Node
 	classes   map[string]balance.Class
 	bodies    *bodies
@@ -65,6 +69,7 @@
 // connections at most and so many bytes for long bodies, all together.
 func New(n *node.Node, listener net.Listener, classes []balance.Class, most int, room int64) *HTTP {
 	f := &HTTP{node: n, classes: map[string]balance.Class{}, accepted: make(chan struct{}), drained: make(chan struct{}), bodies: newBodies(room), clients: newClientConns(listener, most, n.Count(), n.History(), n.Checker())}
+	f.clients.endingAnswer = n.EndingAnswer
 	for _, c := range classes {
 		f.classes[c.Name] = c
 	}
@@ -99,7 +104,9 @@
 	defer close(f.drained)
 	f.logStep("draining")
 	time.Sleep(time.Until(f.node.TimeOf(schedule.Accept)))
-	f.clients.empty(schedule.Empty())
+	if !f.SocketKept {
+		f.clients.empty(schedule.Empty())
+	}
 	f.clients.Close()
 	f.logStep("listener closed")
 	answer := f.node.TimeOf(schedule.Answer)
