--- a/membership/caller_test.go
+++ b/membership/caller_test.go
@@ -206,8 +206,10 @@
 	for _, x := range []struct {
 		nodes, rate int // calls a second
 		patience    time.Duration
-	}{{300, 25, 2 * time.Second}, {300, 40, 2 * time.Second}, {300, 80, 2 * time.Second}, {300, 160, 2 * time.Second},
-		{300, 25, 3 * time.Second}, {300, 80, 3 * time.Second}, {32, 4, 2 * time.Second}, {32, 4, 3 * time.Second}, {32, 4, 3500 * time.Millisecond}} {
+		takesAll    bool // it lets all wait, and turns nobody away at once
+	}{{300, 25, 2 * time.Second, false}, {300, 40, 2 * time.Second, false}, {300, 80, 2 * time.Second, false}, {300, 160, 2 * time.Second, false},
+		{300, 25, 3 * time.Second, false}, {300, 80, 3 * time.Second, false}, {32, 4, 2 * time.Second, false}, {32, 4, 3 * time.Second, false}, {32, 4, 3500 * time.Millisecond, false},
+		{32, 4, 2 * time.Second, true}, {32, 4, 3 * time.Second, true}, {32, 4, 3500 * time.Millisecond, true}, {32, 8, 3500 * time.Millisecond, true}, {300, 25, 3 * time.Second, true}, {300, 80, 3 * time.Second, true}} {
 		nodes, rate, patience := x.nodes, x.rate, x.patience
 		r := newRig(nodes, Settings{Nodes: float64(nodes), AskWithin: 10 * time.Second}, Start{Known: true, Spread: true})
 		free := time.Hour + back // when the queue is worked off
@@ -221,10 +223,13 @@
 			switch {
 			case r.now < time.Hour+back: // it is down
 				return patience, Failed{c.ID, TurnedAway}
-			case wait > patience+100*time.Millisecond:
+			case wait > patience+100*time.Millisecond && !x.takesAll:
 				refused++
 				return 5 * time.Millisecond, Failed{c.ID, TurnedAway}
 			}
+			if wait > patience && x.takesAll { // it gives the call up, and does no work for it
+				return patience, Failed{c.ID, TurnedAway}
+			}
 			free = r.now + wait + time.Second/time.Duration(rate)
 			if wait > patience {
 				return patience, Failed{c.ID, TurnedAway}
