A call to discovery after one that was not answered in its time stays in the queue

Cause: a call has 2.2 s, which is what the first site's discovery lets one wait and a bit; only where calls are turned away at once did the caller find out that it stands in a queue. One that lets calls wait longer and turns nobody away was left each time at 2.2 s, while it works for calls that nobody waits for.

Change: after a call that ran out of its time the next one has 3.8 s, until one is answered. What it missed still counts as told after the next call's answer: 3.8 s and 2.2 s are the 6 s. A call that can't be made or breaks off shows no queue.

--- a/membership/caller.go
+++ b/membership/caller.go
@@ -24,10 +24,11 @@
 	Told = 6 * time.Second
 	// CallTime is what a call has beyond its hold.
 	CallTime = 2200 * time.Millisecond
-	// queueTime is what a call has at a discovery that turns others away: it is in a queue there, whose
-	// length the settings don't say (2 and 3 s have been seen), and whoever leaves it has to begin at its
-	// end, while discovery works for the call that nobody waits for any more. If it is silent after
-	// all, the next call still comes back before what it missed counts as told.
+	// queueTime is what a call has at a discovery that turns others away, or that did not answer the
+	// call before in its time: it is in a queue there, whose length the settings don't say (2 and 3 s
+	// have been seen), and whoever leaves it has to begin at its end, while discovery works for the call
+	// that nobody waits for any more. If it is silent after all, the next call still comes back before
+	// what it missed counts as told.
 	queueTime = Told - CallTime
 
 	backoffFirst = 200 * time.Millisecond // mean wait after a first failure; doubles
@@ -163,6 +164,7 @@
 	next       Time // of the next call, where none is out
 	wait       time.Duration
 	crowded    bool // calls are turned away, the first of them at once
+	slow       bool // the latest call had no answer in its time, though its connection came up
 }
 
 // Start is how a Caller begins.
@@ -255,7 +257,7 @@
 	switch {
 	case c.set.Pushed:
 		limit = hold + pushedTime
-	case c.crowded:
+	case c.crowded || c.slow:
 		limit = hold + queueTime
 	}
 	x := &call{Call: Call{ID: c.last, From: c.generation, Whole: whole || !c.known, Hold: hold, Limit: limit}, at: c.now, aside: aside}
@@ -339,7 +341,7 @@
 		c.calls = slices.Delete(c.calls, i, i+1)
 		c.drop()
 	}
-	c.generation, c.known, c.held, c.crowded, c.wait, c.next = e.Generation, true, true, false, backoffFirst, c.now+pause
+	c.generation, c.known, c.held, c.crowded, c.slow, c.wait, c.next = e.Generation, true, true, false, false, backoffFirst, c.now+pause
 	c.do(Take{e.Call})
 }
 
@@ -377,7 +379,7 @@
 			wait = max(wait, c.jitter(turn))
 		}
 	case asked && why != TurnedAway:
-		from, c.crowded = x.at, false
+		from, c.crowded, c.slow = x.at, false, c.now >= x.at+x.Limit
 	}
 	c.next = max(c.now, from+wait)
 	c.wait = min(2*c.wait, max(backoffFirst, c.set.AskWithin/4))
