Lab: system calls of whole processes fail, by a seccomp filter that the lab answers

Change: internal/lab/sysfault starts an ordinary build under a filter that hands chosen calls to the lab, which ends a part of them with an error or lets them go on; no privilege, no seam in the program. Overlaps of faults are checked once for each fault.

--- a/cmd/ivylab/main.go
+++ b/cmd/ivylab/main.go
@@ -11,9 +11,13 @@
 	"golang.org/x/term"
 
 	"barrowscale/internal/lab/command"
+	"barrowscale/internal/lab/sysfault"
 )
 
 func main() {
+	if sysfault.Launching() { // a copy of itself that starts a node whose system calls fail
+		sysfault.Launch()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	rows := 0
 	if fd := int(os.Stdout.Fd()); term.IsTerminal(fd) && os.Getenv("TERM") != "dumb" {
--- a/cmd/ivylock/main_test.go
+++ b/cmd/ivylock/main_test.go
@@ -12,11 +12,15 @@
 	"syscall"
 	"testing"
 
+	"barrowscale/internal/lab/sysfault"
 	"barrowscale/internal/wallclock"
 )
 
 // TestMain lets the tests start this program as a process of its own.
 func TestMain(m *testing.M) {
+	if sysfault.Launching() {
+		sysfault.Launch()
+	}
 	if os.Getenv("IVYLOCK_TEST_RUN") != "" {
 		main()
 		os.Exit(0)
--- a/cmd/ivylock/upgrade_test.go
+++ b/cmd/ivylock/upgrade_test.go
@@ -122,13 +122,19 @@
 // operators; that is before it says yes.
 func (p *platform) start(config string) (*process, error) {
 	c := command(config)
-	c.Env = append(c.Env, "PROXY_CONSOLE=127.0.0.1:0", "PROXY_INHERITED_FD=7", "TMPDIR="+p.folder)
 	c.ExtraFiles = []*os.File{nil, nil, nil, nil, p.socket} // the fifth is descriptor 7
+	return p.run(c, c.Start)
+}
+
+// run starts a command that has the platform's socket as descriptor 7, and waits until it
+// hears operators.
+func (p *platform) run(c *exec.Cmd, start func() error) (*process, error) {
+	c.Env = append(c.Env, "PROXY_CONSOLE=127.0.0.1:0", "PROXY_INHERITED_FD=7", "TMPDIR="+p.folder)
 	log, err := c.StderrPipe()
 	if err != nil {
 		return nil, err
 	}
-	if err := c.Start(); err != nil {
+	if err := start(); err != nil {
 		return nil, err
 	}
 	proc := &process{Cmd: c, ended: make(chan error, 1)}
@@ -159,12 +165,17 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	p.waitForYes(proc)
+	return proc
+}
+
+func (p *platform) waitForYes(proc *process) {
+	p.t.Helper()
 	for end := time.Now().Add(nodetest.Patience); !proc.yes(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			p.t.Fatal("no yes")
 		}
 	}
-	return proc
 }
 
 func (proc *process) yes() bool {
--- a/internal/lab/command/bench.go
+++ b/internal/lab/command/bench.go
@@ -124,7 +124,7 @@
 func (a *app) pair(ctx context.Context, dir string, programs [2]string, servers []string, rounds, body int, length time.Duration) int {
 	var nodes [2]*process.Node
 	for i, program := range programs {
-		p, err := process.Start(program, dir, benchConfig(servers))
+		p, err := process.Start(program, dir, benchConfig(servers), process.Options{})
 		if err != nil {
 			return a.fail(NotHeld, err)
 		}
@@ -192,13 +192,13 @@
 		if err != nil {
 			return m, err
 		}
-		p, err = process.Exec(append([]string{self, proxyWord}, servers...), nil, m.name)
+		p, err = process.Exec(append([]string{self, proxyWord}, servers...), m.name)
 		if err != nil {
 			return m, err
 		}
 	} else {
 		m.name = "node"
-		if p, err = process.Start(program, dir, benchConfig(servers)); err != nil {
+		if p, err = process.Start(program, dir, benchConfig(servers), process.Options{}); err != nil {
 			return m, err
 		}
 	}
--- a/internal/lab/command/soak.go
+++ b/internal/lab/command/soak.go
@@ -27,6 +27,7 @@
 	f.Float64Var(&b.FaultsASecond, "faults", b.FaultsASecond, "faults that begin in a second, on average")
 	f.Float64Var(&b.RateANode, "rate", b.RateANode, "first tries a second for each node")
 	f.BoolVar(&b.ClockSteps, "clock-steps", false, "wall clocks of nodes step, too; wants a node that was built with -tags faults")
+	f.BoolVar(&b.SystemCalls, "system-calls", b.SystemCalls, "a part of nodes' system calls fails, too")
 	if !a.parse(f, args, nil) {
 		return Misuse
 	}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -123,6 +123,7 @@
 	Reloaded   Kind = "reloaded"       // Node: a new configuration, with another address of discovery
 	Silenced   Kind = "silenced"       // Node: its open watch falls silent
 	NoFiles    Kind = "no-descriptors" // Node: its process gets no further descriptor for a while
+	CallsFail  Kind = "calls-failed"   // Node, Note: system calls of its process have failed on purpose
 	IdleClosed Kind = "idle-close"     // Server: it closed its idle connections
 	NodeStop   Kind = "node-stop"      // Node: it stands still
 	NodeCont   Kind = "node-cont"      // Node: it goes on
--- a/internal/lab/holds/holds.go
+++ b/internal/lab/holds/holds.go
@@ -227,6 +227,8 @@
 			none(count(from+margin, to-time.Millisecond, func(e *history.Event) bool { return e.Kind == history.Message && isNode[e.Node] }), "datagrams came while it stood still"))
 	case scenario.WhatNoFiles:
 		return want(count(from, from+margin, func(e *history.Event) bool { return e.Kind == history.NoFiles && isNode[e.Node] }), len(nodes), "nodes without descriptors")
+	case scenario.WhatCalls:
+		return want(count(to, to+margin, func(e *history.Event) bool { return e.Kind == history.CallsFail && isNode[e.Node] }), 1, "nodes whose calls failed")
 	case scenario.WhatCut:
 		asked := func(e *history.Event) bool { return e.Kind == history.Asked && isNode[e.Node] }
 		return first(want(count(0, from, asked), len(nodes), "calls to discovery before it"), none(count(from+margin, to-margin, asked), "calls came to discovery"))
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sys/unix"
 
 	"barrowscale/internal/lab/nodeconf"
+	"barrowscale/internal/lab/sysfault"
 )
 
 const (
@@ -47,17 +48,25 @@
 	alarms  []string
 }
 
+// Options of a node's process.
+type Options struct {
+	Environment []string        // on top of the lab's own
+	Calls       []sysfault.Call // system calls that may fail; none: all go on
+	Rules       *sysfault.Rules // when they do
+}
+
 // Start runs a node's program with a configuration, whose Listen and
 // PeerListen may name port 0: the node's own log tells what it got, so no port
-// is raced for; that it serves is the last of these lines. dir is for its files, more
-// goes into its environment. It returns once GET /up answers 200.
-func Start(program, dir string, c nodeconf.Config, more ...string) (*Node, error) {
+// is raced for; that it serves is the last of these lines. dir is for its files. It
+// returns once GET /up answers 200.
+func Start(program, dir string, c nodeconf.Config, o Options) (*Node, error) {
 	path, err := writeConfig(dir, c)
 	if err != nil {
 		return nil, err
 	}
 	env := []string{"PROXY_NAME=" + c.Name, "PROXY_LISTEN=" + c.Listen, "PROXY_DISCOVERY=" + c.Discovery, "PROXY_CONFIG=" + path}
-	return Exec([]string{program}, append(env, more...), "node "+c.Name)
+	o.Environment = append(env, o.Environment...)
+	return run([]string{program}, o, "node "+c.Name, "/up")
 }
 
 // writeConfig writes a node's configuration and tells where.
@@ -72,17 +81,34 @@
 
 // Exec runs any program that says on standard error where it serves, as a node
 // does, and answers GET /up.
-func Exec(args, env []string, name string) (*Node, error) { return run(args, env, name, "/up") }
+func Exec(args []string, name string) (*Node, error) { return run(args, Options{}, name, "/up") }
 
 // Control runs a control service that is of a fleet and hears operators: its Addr is
 // where it does. It returns once GET /status answers 200.
 func Control(program, config, name string) (*Node, error) {
-	return run([]string{program, "-config", config}, nil, name, "/status")
+	return run([]string{program, "-config", config}, Options{}, name, "/status")
+}
+
+// command prepares a program, and gives what starts it.
+func command(args []string, o Options) (cmd *exec.Cmd, start func() error, err error) {
+	if len(o.Calls) == 0 {
+		cmd = exec.Command(args[0], args[1:]...)
+		return cmd, cmd.Start, nil
+	}
+	faulty, err := sysfault.NewCommand(o.Rules, o.Calls, args[0], args[1:]...)
+	if err != nil {
+		return nil, nil, err
+	}
+	return faulty.Cmd, faulty.Start, nil
 }
 
-func run(args, env []string, name, check string) (*Node, error) {
-	n := &Node{check: check, ended: make(chan struct{}), drained: make(chan struct{}), cmd: exec.Command(args[0], args[1:]...)}
-	n.cmd.Env = append(os.Environ(), env...)
+func run(args []string, o Options, name, check string) (*Node, error) {
+	cmd, start, err := command(args, o)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	n := &Node{check: check, ended: make(chan struct{}), drained: make(chan struct{}), cmd: cmd}
+	n.cmd.Env = append(n.cmd.Environ(), o.Environment...)
 	// Setpgid keeps a Ctrl-C at the terminal from it: the lab ends it in order.
 	// Pdeathsig ends it if the lab is killed outright.
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -98,7 +124,7 @@
 		// Pdeathsig is sent when the thread that started the process ends.
 		runtime.LockOSThread()
 		defer runtime.UnlockOSThread()
-		err := n.cmd.Start()
+		err := start()
 		in.Close()
 		started <- err
 		if err == nil {
--- a/internal/lab/real/faults.go
+++ b/internal/lab/real/faults.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"barrowscale/guard"
 	"barrowscale/internal/lab/caller"
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/hosts"
@@ -100,6 +99,8 @@
 		return h.standStill(nodes)
 	case scenario.WhatNoFiles:
 		return h.takeDescriptors(nodes)
+	case scenario.WhatCalls:
+		return h.failCalls(f, nodes)
 	case scenario.WhatReload:
 		return action{begin: func() { h.reload(nodes) }}
 	case scenario.WhatMute:
@@ -337,13 +338,20 @@
 	}()
 }
 
+// The protocol page's figures of a planned restart. They are worded here once more, and not
+// taken from the program that is under test.
+const (
+	killMargin      = 700 * time.Millisecond // SIGKILL comes this and the longest deadline after SIGTERM
+	longestDeadline = 3 * time.Second        // of a deadline that counts for it
+)
+
 // lifeTime is how long after SIGTERM a process lives at the least.
 func (h *Hall) lifeTime() time.Duration {
-	var deadlines []time.Duration
+	longest := time.Duration(0)
 	for _, c := range h.o.Deploy.Classes {
-		deadlines = append(deadlines, c.Deadline)
+		longest = max(longest, c.Deadline)
 	}
-	return guard.KillMargin + guard.Longest(deadlines...)
+	return killMargin + min(longest, longestDeadline)
 }
 
 // reload gives nodes a new configuration, with another address of discovery.
--- a/internal/lab/real/hall.go
+++ b/internal/lab/real/hall.go
@@ -107,6 +107,7 @@
 	told bool                         // it was told to end, or killed
 	life int
 	cpu  time.Duration // of processes that have ended
+	fail callFaults
 }
 
 // New starts the stand-ins and the nodes. Close ends all of it.
@@ -434,7 +435,11 @@
 	if steps := h.clockSteps(n.Node); len(steps) > 0 {
 		more = append(more, wallclock.StepsVariable+"="+wallclock.FormatSteps(steps))
 	}
-	proc, err := process.Start(h.o.Program, h.dir, n.conf, more...)
+	options := process.Options{Environment: more, Calls: h.callsOf(n.Node)}
+	if len(options.Calls) > 0 {
+		options.Rules = n.fail.begin(h.o.Seed*1_000_003 + int64(n.Number)*101 + int64(n.life))
+	}
+	proc, err := process.Start(h.o.Program, h.dir, n.conf, options)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/real/real_test.go
+++ b/internal/lab/real/real_test.go
@@ -17,12 +17,16 @@
 	"barrowscale/internal/lab/holds"
 	"barrowscale/internal/lab/judge"
 	"barrowscale/internal/lab/scenario"
+	"barrowscale/internal/lab/sysfault"
 )
 
 var program, control string
 
 // TestMain builds the programs once: the tests run them as processes.
 func TestMain(m *testing.M) {
+	if sysfault.Launching() {
+		sysfault.Launch()
+	}
 	dir, err := os.MkdirTemp("", "ivylab-test-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"barrowscale/internal/lab/sysfault"
 	"barrowscale/internal/operator"
 )
 
@@ -159,6 +161,28 @@
 	return false
 }
 
+// mostAccepts is the part of accepts that may fail for longer than maxHold: those that are
+// made again get through.
+const mostAccepts = 0.8
+
+// checkCalls checks what a fault says of system calls.
+func checkCalls(f Fault) (field, text string) {
+	if f.What != WhatCalls {
+		if f.Call != "" || f.Error != "" {
+			return "call", "call and error go with what = \"system-calls\"; remove them"
+		}
+		return "", ""
+	}
+	rule, err := sysfault.RuleOf(f.Call, f.Error, f.Part)
+	switch {
+	case err != nil:
+		return "call", err.Error()
+	case rule.Call == sysfault.Accept && f.Part > mostAccepts && f.For.Duration > maxHold:
+		return "for", fmt.Sprintf("want %v at most, or part = %v at most: who waits for longer to be accepted is served late, as nobody could help", maxHold, mostAccepts)
+	}
+	return "", ""
+}
+
 // needs tells what a fault must name.
 type needs struct{ servers, nodes, halls, class, part, none bool }
 
@@ -171,7 +195,7 @@
 	WhatStop: {nodes: true}, WhatCut: {nodes: true}, WhatPeers: {nodes: true},
 	WhatSplit: {nodes: true}, WhatJoin: {nodes: true}, WhatLeave: {nodes: true},
 	WhatHold: {nodes: true}, WhatReload: {nodes: true}, WhatMute: {nodes: true}, WhatIdle: {servers: true},
-	WhatNoFiles: {nodes: true}, WhatClock: {nodes: true},
+	WhatNoFiles: {nodes: true}, WhatClock: {nodes: true}, WhatCalls: {nodes: true, part: true},
 }
 
 func (s *Scenario) checkFault(f Fault) (field, text string) {
@@ -217,6 +241,9 @@
 			}
 		}
 	}
+	if field, text := checkCalls(f); text != "" {
+		return field, text
+	}
 	switch {
 	case need.servers && !need.nodes && len(servers) == 0:
 		return "who", "it names no server"
@@ -262,33 +289,58 @@
 	return "", ""
 }
 
+// holdsDown are the faults that act on a process, or keep it from running.
+var holdsDown = map[string]bool{WhatStop: true, WhatSilent: true, WhatKill: true, WhatLost: true, WhatLostNodes: true, WhatTerm: true, WhatReplace: true, WhatHang: true}
+
 // checkOverlap rejects orders that cannot be carried out: a process that is
 // acted on while another fault holds it down.
 func (s *Scenario) checkOverlap() (key, text string) {
-	down := map[string]bool{WhatStop: true, WhatSilent: true, WhatKill: true, WhatLost: true, WhatLostNodes: true, WhatTerm: true, WhatReplace: true, WhatHang: true}
-	for i, f := range s.Faults {
-		for j, g := range s.Faults[:i] {
-			if !down[f.What] || !down[g.What] || f.At.Duration >= g.At.Duration+max(g.For.Duration, time.Millisecond) ||
-				g.At.Duration >= f.At.Duration+max(f.For.Duration, time.Millisecond) {
+	type held struct {
+		number         int
+		fault          *Fault
+		servers, nodes map[string]bool
+	}
+	var earlier []held
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		if !holdsDown[f.What] {
+			continue
+		}
+		this := held{number: i, fault: f}
+		this.servers, this.nodes = s.hit(*f)
+		for _, g := range earlier {
+			if !f.overlaps(g.fault) {
 				continue
 			}
-			fs, fn := s.hit(f)
-			gs, gn := s.hit(g)
-			for name := range fs {
-				if gs[name] {
-					return fmt.Sprintf("fault.%d.at", i), fmt.Sprintf("fault %d (%s) acts on %s while fault %d (%s) holds it down; let one end first", i+1, f.What, name, j+1, g.What)
-				}
+			name, both := common(this.servers, g.servers)
+			if !both {
+				name, both = common(this.nodes, g.nodes)
 			}
-			for name := range fn {
-				if gn[name] {
-					return fmt.Sprintf("fault.%d.at", i), fmt.Sprintf("fault %d (%s) acts on %s while fault %d (%s) holds it down; let one end first", i+1, f.What, name, j+1, g.What)
-				}
+			if both {
+				return fmt.Sprintf("fault.%d.at", i), fmt.Sprintf("fault %d (%s) acts on %s while fault %d (%s) holds it down; let one end first",
+					i+1, f.What, name, g.number+1, g.fault.What)
 			}
 		}
+		earlier = append(earlier, this)
 	}
 	return "", ""
 }
 
+// overlaps tells whether two faults act at one time, each for a millisecond at least.
+func (f *Fault) overlaps(g *Fault) bool {
+	return f.At.Duration < g.At.Duration+max(g.For.Duration, time.Millisecond) && g.At.Duration < f.At.Duration+max(f.For.Duration, time.Millisecond)
+}
+
+// common gives the first name, in their order, that two sets have in common.
+func common(a, b map[string]bool) (name string, found bool) {
+	for _, name := range slices.Sorted(maps.Keys(a)) {
+		if b[name] {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // hit gives the names of the servers and nodes whose process a fault acts on.
 func (s *Scenario) hit(f Fault) (servers, nodes map[string]bool) {
 	servers, nodes = map[string]bool{}, map[string]bool{}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -100,6 +100,7 @@
 	WhatIdle      = "idle-close"        // servers close their idle connections
 	WhatClock     = "clock-step"        // the wall clock of nodes' machines steps, for good; wants nodes built with -tags faults
 	WhatNoFiles   = "no-descriptors"    // a node's process gets no further descriptor (EMFILE), for 0.15 s at most
+	WhatCalls     = "system-calls"      // a part of a node's system calls of a kind fails
 )
 
 // Fault is one thing that goes wrong, from At on for a time.
@@ -109,7 +110,7 @@
 	What   string   `toml:"what"`
 	Who    []string `toml:"who,omitempty"`    // servers (hall.1), nodes (n0) or halls
 	Class  string   `toml:"class,omitempty"`  // heavy: which
-	Part   float64  `toml:"part,omitempty"`   // heavy, spoil, slow-reader: the share that is hit, 0 to 1
+	Part   float64  `toml:"part,omitempty"`   // heavy, spoil, slow-reader, system-calls: the share that is hit, 0 to 1
 	Factor float64  `toml:"factor,omitempty"` // heavy: multiple of the usual work
 	Every  Span     `toml:"every,omitempty"`  // flap: time between changes
 	Delay  Span     `toml:"delay,omitempty"`  // link: one way; discovery-lag: on top; clock-step: how far
@@ -119,6 +120,8 @@
 	Way    string   `toml:"way,omitempty"`    // peers: "out" or "in", of who; both if empty
 	Jitter Span     `toml:"jitter,omitempty"` // peers: up to so much on top, so that datagrams overtake one another
 	Double float64  `toml:"double,omitempty"` // peers: share of datagrams that come twice
+	Call   string   `toml:"call,omitempty"`   // system-calls: which kind, as package sysfault names them
+	Error  string   `toml:"error,omitempty"`  // system-calls: the error's name, such as ENOBUFS
 }
 
 // Must is what must hold after the run. A rule that breaks always fails it.
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -105,6 +105,13 @@
 for = "2s"
 what = "silent"
 who = ["hall-nord"]`, 29, "while fault 2 (hang) holds it down"},
+		{"call that goes with no such fault", `what = "hang"`, "what = \"hang\"\ncall = \"accept\"", 21, "go with"},
+		{"unknown system call", `what = "hang"
+who = ["hall-nord.1"]`, "what = \"system-calls\"\nwho = [\"n0\"]\ncall = \"listen\"\npart = 0.5", 22, "there are accept"},
+		{"error that a call does not end with", `what = "hang"
+who = ["hall-nord.1"]`, "what = \"system-calls\"\nwho = [\"n0\"]\ncall = \"sync\"\nerror = \"EPERM\"\npart = 0.5", 22, "EIO, ENOSPC"},
+		{"accepts that all fail for long", `what = "hang"
+who = ["hall-nord.1"]`, "what = \"system-calls\"\nwho = [\"n0\"]\ncall = \"accept\"\nerror = \"EMFILE\"\npart = 1.0", 19, "150ms at most"},
 		{"link without change", `what = "hang"`, `what = "link"`, 17, "wants delay, loss or state"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -5,12 +5,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/load"
 	"barrowscale/internal/lab/scenario"
+	"barrowscale/internal/lab/sysfault"
 )
 
 // Bounds say what a soak draws from.
@@ -20,10 +23,11 @@
 	FaultsASecond         float64       // how many faults begin, on average
 	RateANode             float64       // first tries a second
 	ClockSteps            bool          // wall clocks step: the nodes are built with -tags faults
+	SystemCalls           bool          // system calls fail; whoever plays calls sysfault.Launch where that is to be
 }
 
 // Usual are the bounds of a run by hand on eight cores.
-var Usual = Bounds{LeastNodes: 10, MostNodes: 40, Length: 20 * time.Second, FaultsASecond: 2, RateANode: 12}
+var Usual = Bounds{LeastNodes: 10, MostNodes: 40, Length: 20 * time.Second, FaultsASecond: 2, RateANode: 12, SystemCalls: true}
 
 // The rules' figures that a soak draws nothing of: the standing page's.
 const (
@@ -82,6 +86,9 @@
 	if b.ClockSteps {
 		d.drawClockSteps()
 	}
+	if b.SystemCalls {
+		d.drawSystemCalls()
+	}
 	if err := scenario.Check(d.s); err != nil {
 		panic(fmt.Sprintf("soak: seed %d draws what can't be played: %v", seed, err))
 	}
@@ -101,6 +108,22 @@
 	}
 }
 
+// failing are the kinds of system calls that are drawn. Files play no part where the platform
+// holds no listening socket.
+var failing = []sysfault.Call{sysfault.Accept, sysfault.Socket, sysfault.Connect, sysfault.SendTo, sysfault.Receive}
+
+// drawSystemCalls has a part of some nodes' system calls fail, for some of the time.
+func (d *drawer) drawSystemCalls() {
+	for range 2 + int(d.bounds.Length/(3*time.Second)) {
+		call := failing[d.IntN(len(failing))]
+		names := slices.Sorted(maps.Keys(sysfault.Errors[call]))
+		f := scenario.Fault{What: scenario.WhatCalls, Call: string(call), Error: names[d.IntN(len(names))], Part: 0.05 + 0.75*d.Float64(),
+			At: d.span(200*time.Millisecond, d.bounds.Length), For: d.span(50*time.Millisecond, 3*time.Second),
+			Who: some(d, d.s.Nodes(), func(x scenario.Node) string { return x.Name }, len(d.s.Nodes()))}
+		d.add(f)
+	}
+}
+
 // add takes a fault in, unless it can't be carried out together with the others.
 func (d *drawer) add(f scenario.Fault) {
 	d.s.Faults = append(d.s.Faults, f)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -15,6 +15,7 @@
 
 	"barrowscale/internal/lab/history"
 	"barrowscale/internal/lab/scenario"
+	"barrowscale/internal/lab/sysfault"
 )
 
 var mutants = flag.Bool("soak-mutants", false, "build nodes that are broken on purpose, and see that soaks find each")
@@ -23,6 +24,9 @@
 
 // TestMain builds the node once: the tests run it as processes.
 func TestMain(m *testing.M) {
+	if sysfault.Launching() {
+		sysfault.Launch()
+	}
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "soak-test-")
 	if err != nil {
@@ -41,7 +45,7 @@
 }
 
 // small are bounds of a soak that two busy cores carry.
-var small = Bounds{LeastNodes: 10, MostNodes: 10, Length: 12 * time.Second, FaultsASecond: 2, RateANode: 4, ClockSteps: true}
+var small = Bounds{LeastNodes: 10, MostNodes: 10, Length: 12 * time.Second, FaultsASecond: 2, RateANode: 4, ClockSteps: true, SystemCalls: true}
 
 // The rules hold, and each process keeps its invariants, under faults that overlap. Seeds that
 // once did not hold stay here.
@@ -93,7 +97,7 @@
 	if overlaps < 10*seeds {
 		t.Errorf("%d pairs of faults overlap in %d seeds", overlaps, seeds)
 	}
-	for _, what := range []string{scenario.WhatTerm, scenario.WhatHold, scenario.WhatHang, scenario.WhatKill, scenario.WhatReload, scenario.WhatMute, scenario.WhatIdle, scenario.WhatNoFiles} {
+	for _, what := range []string{scenario.WhatTerm, scenario.WhatHold, scenario.WhatHang, scenario.WhatKill, scenario.WhatReload, scenario.WhatMute, scenario.WhatIdle, scenario.WhatNoFiles, scenario.WhatCalls} {
 		if kinds[what] < seeds/4 {
 			t.Errorf("%s was drawn %d times in %d seeds", what, kinds[what], seeds)
 		}
--- a/test.sh
+++ b/test.sh
@@ -23,7 +23,7 @@
 	skip=(-skip "^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|'))\$")
 fi
 # What has goroutines runs under the race detector, which wants a C compiler.
-concurrent='/(internal/(accept|node|front|console|handover|backend|discovery|xds|control|ctl|eventlog|logsink|lab/(alarm|real|soak|xdsdrain|clipserver|hosts|caller|link|socket|history))|cmd/ivylock)$'
+concurrent='/(internal/(accept|node|front|console|handover|backend|discovery|xds|control|ctl|eventlog|logsink|lab/(alarm|real|soak|sysfault|xdsdrain|clipserver|hosts|caller|link|socket|history))|cmd/ivylock)$'
 if [ "$(go env CGO_ENABLED)" = 1 ] && command -v "$(go env CC)" >/dev/null; then
 	go test "${skip[@]}" $(go list ./... | grep -vE "$concurrent")
 	# The lab's processes mostly wait, and its tests bound how many of them run at once by themselves.
