A server that an operator took back into use stays cold at the next process though the clock stepped

Cause: operators' words carry the Unix time of the process that heard them.

Change: handoff.Words: a state that was not written a moment ago by an agreeing clock counts as written now, so that a server that is back is as old as it was then, and never warmer than it is.

Measured: TestAServerThatIsBackIsColdThoughTheClockStepped fails without the change at steps of an hour either way (cold since one hour ago, and in one hour) and passes; handoff, internal/node and internal/arch pass.

--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -5,6 +5,7 @@
 package handoff
 
 import (
+	"slices"
 	"time"
 
 	"barrowscale/balance"
@@ -92,8 +93,34 @@
 	if found == nil || found.Version != Version || found.Node != node {
 		return false, false
 	}
-	age := now - found.At
-	return true, age >= -clockNoise && age <= FreshTime // one from the future: the clock was set back, and its age is not known
+	return true, found.isFresh(now)
+}
+
+// isFresh tells whether a state was written a moment ago, by a clock that agrees with the
+// reader's. The age of one from the future is not known: the clock was set back.
+func (s *State) isFresh(now balance.Time) bool {
+	age := now - s.At
+	return age >= -clockNoise && age <= FreshTime
+}
+
+// Words gives the operators' words of a state in the time of the process that takes over. How
+// long ago a state was written that is not fresh is not known, as either clock may have stepped:
+// it counts as written now, so that a server which was taken back into use before it is colder,
+// and not warmer, than it is.
+func Words(found *State, now balance.Time) []maintenance.Record {
+	words := slices.Clone(found.Maintenance)
+	if found.isFresh(now) {
+		return words
+	}
+	step := now - found.At
+	for i := range words {
+		w := &words[i]
+		w.Entered += step
+		if !w.Out {
+			w.Exited += step
+		}
+	}
+	return words
 }
 
 // Follows tells a process whether a list that another process of its node was
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"barrowscale/maintenance"
 )
 
 func TestJudge(t *testing.T) {
@@ -48,6 +50,29 @@
 	}
 }
 
+// A server that was taken back into use two seconds before a state was written has been in use
+// for two seconds at least, and for no longer than is certain, whichever way the clock stepped
+// before the next process read it.
+func TestWordsKeepTheirAgeThroughAStepOfTheClock(t *testing.T) {
+	const written = time.Hour * 1000
+	s := &State{At: written, Maintenance: []maintenance.Record{
+		{ID: "back", Entered: written - time.Minute, Exited: written - 2*time.Second, Started: written - time.Hour},
+		{ID: "out", Out: true, Entered: written - time.Minute}}}
+	for now, age := range map[time.Duration]time.Duration{written + time.Second: 3 * time.Second, written: 2 * time.Second,
+		written + time.Hour: 2 * time.Second, written - time.Hour: 2 * time.Second, written + time.Minute: 2 * time.Second} {
+		words := Words(s, now)
+		if got := now - words[0].Exited; got != age {
+			t.Errorf("read %v after it was written: back for %v, want %v", now-written, got, age)
+		}
+		if words[0].Entered >= words[0].Exited || words[0].Started != s.Maintenance[0].Started || !words[1].Out || words[1].Exited != 0 {
+			t.Errorf("read %v after it was written: %+v", now-written, words)
+		}
+	}
+	if s.Maintenance[0].Exited != written-2*time.Second {
+		t.Error("the state itself was changed")
+	}
+}
+
 // Two processes that know one another's numbers never hold more than the whole.
 func TestSharesStayWithinTheWhole(t *testing.T) {
 	for full := 8; full < 400; full += 7 {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -40,7 +40,7 @@
 	if !words {
 		return
 	}
-	n.byHand = maintenance.New(found.Maintenance)
+	n.byHand = maintenance.New(handoff.Words(found, n.now()))
 	if n.fleet != nil && found.Record != nil {
 		n.fleet.agent.Recorder().Former(*found.Record)
 	}
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -106,6 +106,31 @@
 	}
 }
 
+// A server that an operator took back into use a second before the upgrade is cold at the next process, also where the
+// wall clock stepped in between.
+func TestAServerThatIsBackIsColdThoughTheClockStepped(t *testing.T) {
+	for _, step := range []time.Duration{0, time.Hour, -time.Hour} {
+		cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+		n := New(cfg)
+		n.takeNews(discovery.News{Kind: balance.ListCached, List: cfg.Known})
+		for _, out := range []bool{true, false} {
+			if err := hear(n, "s-0", out); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s := n.state()
+		s.Version, s.Node = handoff.Version, cfg.Name
+		next := New(testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"))
+		next.origin += step
+		next.TakeOver(s, &fakeKeeper{})
+		next.takeNews(discovery.News{Kind: balance.ListCached, List: next.cfg.Known})
+		_, servers := next.module.Learned()
+		if got := servers[next.ids["s-0"]]; !got.Cold || (next.now()-got.ColdSince).Abs() > time.Second {
+			t.Errorf("the clock stepped by %v: cold %v since %v", step, got.Cold, next.now()-got.ColdSince)
+		}
+	}
+}
+
 func TestWordsGoToTheProcessThatSpeaks(t *testing.T) {
 	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
 	n := New(cfg)
