--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -26,7 +26,6 @@
 
 	listener *net.TCPListener
 	vanished atomic.Bool // its machine answers nothing any more
-	fillers  []net.Conn  // keep the backlog of a vanished machine full
 	mu       sync.Mutex
 	inFlight int
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -36,6 +37,7 @@
 	mu       sync.Mutex
 	record   *os.File
 	nodes    []*nodeProcess
+	kept     []io.Closer // see keep
 	breaches int
 }
 
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -76,6 +77,7 @@
 	addr      string // where clients connect; empty: a free one
 	discovery string
 	shared    string   // folder that the processes of one node share as TMPDIR; empty: its own
+	memoryMB  int      // limit; 0: 192
 	inherited *os.File // the clients' listening socket, if the platform holds it
 	initial   object   // the list as the node last had it
 }
@@ -95,7 +97,7 @@
 		shared = folder
 	}
 	config := object{"name": spec.name, "listen": n.addr, "console": n.console, "discovery": spec.discovery,
-		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": object{"cores": 1.0, "memory_mb": cmp.Or(spec.memoryMB, 192), "sockets": 1024},
 		"known": spec.initial, "settings": settings()}
 	raw, err := json.MarshalIndent(config, "", " ")
 	if err == nil {
--- a/review/standin/vanish.go
+++ b/review/standin/vanish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -47,13 +48,21 @@
 	}
 	b.vanished.Store(true)
 	b.listener.Close()
+	r.keep(l)
 	for failed := 0; failed < 2; {
 		c, err := net.DialTimeout("tcp4", b.addr, fillerTimeout)
 		if err != nil {
 			failed++
 			continue
 		}
-		b.fillers = append(b.fillers, c)
+		r.keep(c)
 	}
 	r.logf("the machine of %s has vanished", b.name)
 }
+
+// keep keeps a socket open up to the end of the run: the garbage collector would close it.
+func (r *run) keep(c io.Closer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept = append(r.kept, c)
+}
