--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	tmp     string // temporary folder, removed at the end
 	command string // that starts a node, from the deploy file
 	trouble bool   // with the disruption
+	late    lateness
 	started time.Time
 
 	mu       sync.Mutex
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -77,7 +77,6 @@
 	addr      string // where clients connect; empty: a free one
 	discovery string
 	shared    string   // folder that the processes of one node share as TMPDIR; empty: its own
-	memoryMB  int      // limit; 0: 192
 	inherited *os.File // the clients' listening socket, if the platform holds it
 	initial   object   // the list as the node last had it
 }
@@ -97,7 +96,7 @@
 		shared = folder
 	}
 	config := object{"name": spec.name, "listen": n.addr, "console": n.console, "discovery": spec.discovery,
-		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": object{"cores": 1.0, "memory_mb": cmp.Or(spec.memoryMB, 192), "sockets": 1024},
+		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"known": spec.initial, "settings": settings()}
 	raw, err := json.MarshalIndent(config, "", " ")
 	if err == nil {
@@ -167,9 +166,11 @@
 	return resp.StatusCode, strings.TrimSpace(string(raw))
 }
 
-// freeAddr returns a free address on loopback.
+// freeAddr returns a free address on loopback. It is not on 127.0.0.1, where a connection of a
+// client might take its port before the node listens there.
 func (r *run) freeAddr() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	l, err := net.Listen("tcp4", host+":0")
 	if err != nil {
 		r.failf("%v", err)
 	}
