--- a/review/standin/second_answer.go
+++ b/review/standin/second_answer.go
@@ -12,7 +12,7 @@
 // secondAnswer: servers send a second copy of some answers a few milliseconds late. Every
 // client must get the answer that a server made for its own request.
 func secondAnswer(r *run) {
-	const rounds, clients, load = 20, 4, 1500 * time.Millisecond
+	const rounds, clients, load = 40, 4, 1500 * time.Millisecond
 	for round := range rounds {
 		r.logf("round %d", round)
 		disc := r.newDiscovery()
