A connection to a server carries no request for 20 ms after any response

Cause: an HTTP/1.1 response is assigned by its order on the connection alone. Pool.pickIdle reused a connection less than 20 ms after its last response where no other was idle, unless a server had sent a malformed response within a minute. A second copy of a response that came 5 ms late was read as the next request's response: the first copy after a start or a quiet minute.

Change: the delay always applies. A request waits for the rest of it, is checked again, and is not sent if it ends meanwhile. A new connection is opened where waits since the last dial would exceed the time that dial took. With dials that come up late, waiting is cheaper; with fast ones a new connection is. Two tests changed: TestReuseDelayAppliesOnlyAfterMalformedResponses demanded the gap itself and is replaced by TestReuseDelayAlwaysApplies; TestMalformedResponsesAreDetected read a time that is gone and is replaced by TestConnectionsWithUnsolicitedBytesAreNotReused, which asks that the connection is not used again, in the wait too. TestLateDuplicateResponseIsNotMatchedToNextRequest no longer tells the pool of a malformed response first.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,8 +64,8 @@
 	}
 }
 
-// Guards against matching a late duplicate response to the next request on its connection:
-// once a server has sent one, no connection is reused before the reuse delay.
+// Guards against matching a duplicate response to the next request on its connection: no
+// connection is reused before the reuse delay.
 func TestLateDuplicateResponseIsNotMatchedToNextRequest(t *testing.T) {
 	lastURI := map[net.Conn]string{}
 	var mu sync.Mutex
@@ -94,66 +95,167 @@
 		if res := p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", id, nil)}); string(res.Body) != id {
 			t.Errorf("%s got outcome %d, %q", id, res.Code, res.Body)
 		}
-		if i == 0 { // the duplicate may arrive a moment later
-			p.noteMalformed()
+	}
+}
+
+// Guards against a client's getting another client's response: the first duplicate that a
+// server sends, 5 ms late and without any sign before, is matched to no request or probe.
+func TestFirstLateDuplicateIsNotMatchedToNextRequest(t *testing.T) {
+	const copyDelay, requests = 5 * time.Millisecond, 4
+	for _, dialTime := range []time.Duration{0, time.Hour} { // requests use new connections, or wait
+		copySent := make(chan bool, requests+1)
+		b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool {
+			if r.RequestURI != "/0" { // the copy arrives before this response
+				<-copySent
+			}
+			time.AfterFunc(copyDelay, func() {
+				nodetest.WriteResponse(c, "200 OK", r.RequestURI)
+				copySent <- true
+			})
+			return nodetest.WriteResponse(c, "200 OK", r.RequestURI)
+		})
+		p := newPool()
+		p.reuseDelay = 40 * copyDelay // the copy may be late on a busy machine
+		server := &Server{addr: b.Addr}
+		p.Add(server)
+		for i := range requests {
+			uri := fmt.Sprint("/", i)
+			if res := p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", uri, nil)}); string(res.Body) != uri {
+				t.Errorf("%s got outcome %d, %q", uri, res.Code, res.Body)
+			}
+			server.dialTime = dialTime
+		}
+		if res := p.Probe(server); string(res.Body) != "/metrics/load" {
+			t.Errorf("a probe got outcome %d, %q", res.Code, res.Body)
 		}
 	}
 }
 
-// Without malformed responses the reuse delay opens no new connections, and a connection
-// that has been idle for the delay is preferred to a new one.
-func TestReuseDelayAppliesOnlyAfterMalformedResponses(t *testing.T) {
-	b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.WriteResponse(c, "200 OK", "") })
+// The reuse delay always applies. Requests wait for it if a dial takes longer, else they open
+// connections, and a connection whose delay is over is preferred to a new one.
+func TestReuseDelayAlwaysApplies(t *testing.T) {
+	const requests = 10
 	for _, testCase := range []struct {
-		reuseDelay time.Duration
-		malformed  bool
-		open       int
-	}{{time.Hour, false, 1}, {0, false, 1}, {time.Hour, true, 10}, {0, true, 1}} {
+		reuseDelay, dialTime time.Duration
+		open                 int
+	}{{time.Hour, 0, requests}, {20 * time.Millisecond, time.Hour, 1}, {0, 0, 1}} {
+		var mu sync.Mutex
+		respondedAt := map[net.Conn]time.Time{}
+		b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if at, used := respondedAt[c]; used && time.Since(at) < testCase.reuseDelay {
+				t.Errorf("reuse delay %v: a connection was reused after %v", testCase.reuseDelay, time.Since(at))
+			}
+			respondedAt[c] = time.Now()
+			return nodetest.WriteResponse(c, "200 OK", "")
+		})
 		p := newPool()
 		p.reuseDelay = testCase.reuseDelay
 		server := &Server{addr: b.Addr}
 		p.Add(server)
-		if testCase.malformed {
-			p.noteMalformed()
-		}
-		for range 10 {
+		for range requests {
 			p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil)})
+			server.dialTime = testCase.dialTime
 		}
 		if p.open != testCase.open {
-			t.Errorf("%+v: %d connections are open", testCase, p.open)
+			t.Errorf("reuse delay %v: %d connections are open", testCase.reuseDelay, p.open)
 		}
 	}
 }
 
-// Bytes after a response, a response that is not HTTP and bytes on an idle connection all
-// count as malformed responses.
-func TestMalformedResponsesAreDetected(t *testing.T) {
-	for name, text := range map[string]string{"bytes after the response": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", "not HTTP": "hello\r\n"} {
-		b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool { _, err := io.WriteString(c, text); return err == nil })
+// Requests that follow one another closely do not wait for the same connection for ever: once
+// they have waited for as long as the last dial took, there is one more, within the limit.
+func TestRepeatedWaitsForReuseOpenConnection(t *testing.T) {
+	b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.WriteResponse(c, "200 OK", "") })
+	for _, testCase := range []struct{ maxConns, minOpen, maxOpen int }{{375, 2, 4}, {1, 1, 1}} {
 		p := newPool()
+		p.reuseDelay, p.maxConns = 20*time.Millisecond, testCase.maxConns
+		dial := p.dial
+		p.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			time.Sleep(2 * p.reuseDelay)
+			return dial(ctx, addr)
+		}
 		server := &Server{addr: b.Addr}
 		p.Add(server)
-		p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil)})
-		if p.lastMalformedAt.IsZero() {
-			t.Errorf("%s: not detected", name)
+		for range 12 {
+			if res := p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil)}); res.Code != balance.OK {
+				t.Errorf("limit %d: outcome %d", testCase.maxConns, res.Code)
+			}
+		}
+		if p.open < testCase.minOpen || p.open > testCase.maxOpen {
+			t.Errorf("limit %d: %d connections are open", testCase.maxConns, p.open)
 		}
 	}
-	late := make(chan bool)
-	b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool {
-		nodetest.WriteResponse(c, "200 OK", "")
-		<-late
-		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-		return err == nil
-	})
+}
+
+// A request that ends while it waits for reuse is not sent, and its connection stays usable.
+func TestRequestThatEndsDuringReuseDelayIsNotSent(t *testing.T) {
+	b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.WriteResponse(c, "200 OK", "") })
 	p := newPool()
+	p.reuseDelay = time.Minute
 	server := &Server{addr: b.Addr}
 	p.Add(server)
-	p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil)})
-	close(late)
-	for end := time.Now().Add(nodetest.WaitTimeout); !bounded.HasUnread(server.idle[0].Conn) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	exchange := func(ctx context.Context) balance.OutcomeCode {
+		return p.Exchange(ctx, server, Call{Request: NewRequest("GET", "/clip", nil)}).Code
 	}
-	if p.acquire(server); p.lastMalformedAt.IsZero() {
-		t.Error("bytes on an idle connection: not detected")
+	if code := exchange(context.Background()); code != balance.OK {
+		t.Fatalf("outcome %d", code)
+	}
+	server.dialTime = time.Hour // requests wait
+	for _, cause := range []error{context.Canceled, context.DeadlineExceeded} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		time.AfterFunc(10*time.Millisecond, func() { cancel(cause) })
+		if code := exchange(ctx); code != balance.Moot {
+			t.Errorf("%v: outcome %d", cause, code)
+		}
+	}
+	if b.RequestCount() != 1 || len(server.idle) != 1 || p.open != 1 {
+		t.Errorf("%d requests sent, %d idle of %d connections", b.RequestCount(), len(server.idle), p.open)
+	}
+}
+
+// A connection that carried bytes after a response, a response that is not HTTP, or bytes
+// while it was idle or waited for reuse, is not reused.
+func TestConnectionsWithUnsolicitedBytesAreNotReused(t *testing.T) {
+	for name, text := range map[string]string{"bytes after the response": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", "not HTTP": "hello\r\n"} {
+		b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool { _, err := io.WriteString(c, text); return err == nil })
+		p := newPool()
+		server := &Server{addr: b.Addr}
+		p.Add(server)
+		p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil)})
+		if p.open != 0 {
+			t.Errorf("%s: not detected", name)
+		}
+	}
+	for _, reuseDelay := range []time.Duration{0, 200 * time.Millisecond} {
+		late, written := make(chan bool), make(chan bool, 2)
+		var lastConn atomic.Value
+		b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool {
+			if last := lastConn.Swap(c); last == c {
+				t.Errorf("reuse delay %v: bytes on an idle connection: it is reused", reuseDelay)
+			}
+			nodetest.WriteResponse(c, "200 OK", "")
+			<-late
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			written <- true
+			return err == nil
+		})
+		p := newPool()
+		p.reuseDelay = reuseDelay
+		server := &Server{addr: b.Addr}
+		p.Add(server)
+		p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil)})
+		server.dialTime = time.Hour // requests wait
+		close(late)
+		if reuseDelay == 0 { // otherwise the bytes arrive during the wait
+			<-written
+		}
+		for end := time.Now().Add(nodetest.WaitTimeout); reuseDelay == 0 && !bounded.HasUnread(server.idle[0].Conn) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		}
+		if res := p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil)}); res.Code != balance.OK {
+			t.Errorf("reuse delay %v: outcome %d", reuseDelay, res.Code)
+		}
 	}
 }
 
@@ -173,12 +275,12 @@
 	if len(one.idle) != 0 || len(two.idle) != 1 || p.open != 1 {
 		t.Errorf("idle %d and %d, open %d", len(one.idle), len(two.idle), p.open)
 	}
-	inUse, _, _, _ := p.acquire(two)
+	reserved, _ := p.acquire(context.Background(), two)
 	if res := p.Exchange(context.Background(), one, Call{Request: NewRequest("GET", "/clip", nil), MayWrite: allow}); res.Code != balance.Moot {
 		t.Errorf("at the connection limit: outcome %d", res.Code)
 	}
 	p.Update(two, b.Addr, 5) // the server has restarted
-	p.release(two, inUse)
+	p.release(two, reserved.conn)
 	if p.open != 0 || len(two.idle) != 0 {
 		t.Errorf("a connection to the old process was kept")
 	}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -79,12 +79,17 @@
 // out if ctx is cancelled with the cause context.DeadlineExceeded. With the codes Moot and
 // ConnectFailed the message has not run; Moot says nothing about the server.
 func (p *Pool) Exchange(ctx context.Context, server *Server, call Call) Result {
-	c, addr, startedAt, ok := p.acquire(server)
-	if !ok {
-		return Result{Code: balance.Moot} // connection limit reached: not a server failure
+	reserved, err := p.acquire(ctx, server)
+	if err != nil {
+		return Result{Code: balance.Moot} // not a server failure
 	}
+	c := reserved.conn
 	if c == nil {
-		netConn, err := p.connect(ctx, addr)
+		dialStart := time.Now()
+		netConn, err := p.connect(ctx, reserved.addr)
+		if !isCancelled(ctx) {
+			p.noteDialTime(server, time.Since(dialStart))
+		}
 		if err != nil {
 			p.discard(nil)
 			if isCancelled(ctx) || neterr.IsLocalTransient(err) { // not a server failure
@@ -92,7 +97,7 @@
 			}
 			return Result{Code: balance.ConnectFailed}
 		}
-		c = &conn{Conn: netConn, reader: bounded.NewReader(netConn), addr: addr, startedAt: startedAt}
+		c = &conn{Conn: netConn, reader: bounded.NewReader(netConn), addr: reserved.addr, startedAt: reserved.startedAt}
 	}
 	if call.Prepare != nil {
 		call.Prepare(call.Request)
@@ -111,9 +116,6 @@
 	if !stopWatching() {
 		reuse = false
 	}
-	if c.malformed {
-		p.noteMalformed()
-	}
 	if reuse {
 		p.release(server, c)
 	} else {
@@ -148,8 +150,7 @@
 		call.OnWritten()
 	}
 	response, err := c.reader.ReadResponse(call.Request)
-	c.malformed = errors.Is(err, bounded.ErrMalformedResponse)
-	if c.malformed {
+	if errors.Is(err, bounded.ErrMalformedResponse) {
 		return Result{Code: balance.ServerError}, false // not Reset: the server responds
 	}
 	if err != nil {
@@ -177,8 +178,8 @@
 	default:
 		result.Code = balance.ServerError
 	}
-	c.malformed, c.lastResponseAt = !c.reader.BufferEmpty(), time.Now()
-	return result, (response.Complete || result.Code == balance.OK) && !response.Close && !c.malformed
+	c.lastResponseAt = time.Now()
+	return result, (response.Complete || result.Code == balance.OK) && !response.Close && c.reader.BufferEmpty()
 }
 
 // bufferedBody is a request body that is completely in memory.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -5,7 +5,6 @@
 
 import (
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,15 +14,7 @@
 	"ivylock/internal/bounded"
 )
 
-const (
-	idleMargin = time.Second // idle connections are closed this long before the server may close them
-	// reuseDelay is how long a connection stays idle after a response before it is reused.
-	// Guards against matching a late duplicate response to the next request. It is
-	// skipped if no other connection can be used and no server has recently sent a
-	// duplicate or malformed response.
-	reuseDelay      = 20 * time.Millisecond
-	malformedWindow = time.Minute // how long a malformed response counts as recent
-)
+const idleMargin = time.Second // idle connections are closed this long before the server may close them
 
 // Server is one backend server. A single owner goroutine writes its exported fields; the
 // pool owns its idle connections.
@@ -37,7 +28,9 @@
 	LastResponseAt balance.Time              // to an attempt or a probe; used by the owner only
 	addr           string
 	startedAt      balance.Time
-	idle           []*conn // most recently used last
+	idle           []*conn       // most recently used last
+	reuseWaits     time.Duration // in all since a connection was opened; see Pool.reserve
+	dialTime       time.Duration // of the last dial, successful or not
 }
 
 // Disable forbids new messages to the server, which drains or has been removed. Enable
@@ -66,7 +59,6 @@
 	startedAt      balance.Time // start of the server process that it leads to, as far as known
 	idleSince      time.Time
 	lastResponseAt time.Time // zero if it has carried no request yet
-	malformed      bool      // a malformed or unsolicited response was received
 }
 
 // Pool manages the connections to all servers within one limit. It is safe for
@@ -79,7 +71,6 @@
 	dial                        dialFunc
 	connectTimeout, idleTimeout time.Duration
 	reuseDelay                  time.Duration
-	lastMalformedAt             time.Time // when a server last sent a malformed or unsolicited response
 	mu                          sync.Mutex
 	open, maxConns              int
 	servers                     map[*Server]bool
@@ -165,56 +156,6 @@
 	server.idle = nil
 }
 
-// acquire returns the most recently used idle connection that is still usable and has
-// been idle for reuseDelay. If there is none, c is nil and the caller may open a new
-// connection; ok is false if the limit is reached.
-func (p *Pool) acquire(server *Server) (c *conn, addr string, startedAt balance.Time, ok bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for i := p.pickIdle(server, now); i >= 0; i = p.pickIdle(server, now) {
-		c := server.idle[i]
-		server.idle = slices.Delete(server.idle, i, i+1)
-		// Guards against using an attempt, which might count as run, on a connection
-		// that is known to be closed.
-		if now.Sub(c.idleSince) < p.idleTimeout && bounded.OpenAndIdle(c.Conn) {
-			return c, c.addr, c.startedAt, true
-		}
-		if bounded.HasUnread(c.Conn) {
-			p.lastMalformedAt = now
-		}
-		p.open--
-		c.Close()
-	}
-	if p.open >= p.maxConns && !p.evictIdle() {
-		return nil, "", 0, false
-	}
-	p.open++
-	return nil, server.addr, server.startedAt, true
-}
-
-// pickIdle returns the index of the idle connection to use next: the most recently used
-// one that has been idle for reuseDelay, else the one that has been idle longest; -1 if a
-// new one is needed.
-func (p *Pool) pickIdle(server *Server, now time.Time) int {
-	for i := len(server.idle) - 1; i >= 0; i-- {
-		if now.Sub(server.idle[i].lastResponseAt) >= p.reuseDelay {
-			return i
-		}
-	}
-	if len(server.idle) == 0 || now.Sub(p.lastMalformedAt) < malformedWindow {
-		return -1
-	}
-	return 0
-}
-
-// noteMalformed records that a server has sent a malformed or unsolicited response.
-func (p *Pool) noteMalformed() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lastMalformedAt = time.Now()
-}
-
 // evictIdle closes the connection that has been idle longest.
 func (p *Pool) evictIdle() bool {
 	var oldest *Server
