An ending process applies the newer one's maintenance records with each poll

Cause: the old process polls the newer one's state each 50 ms but took only the list from it. It adopted the maintenance records when a state of its own was refused, and it stores one each 0.5 to 0.6 s, which is more than the grace for drains.

Change: PollSiblings returns the owner's state and the latest list separately, and the node applies the owner's records like a command, before queued events, unless it has become the owner again meanwhile. On related paths: the poll has its own goroutine and no lock in common with Store, so that a blocked disk does not delay it, and a state that could not be read is read again with the next poll. TestProcessesExchangeLists and TestEpochsAreIndependentOfClock use the new names, their checks are the same.

--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -60,6 +60,16 @@
 	Record *version.Record `json:"record,omitempty"`
 }
 
+// SiblingStates are the states that other processes of the node have written since a process last
+// looked. Both are nil if there are none.
+type SiblingStates struct {
+	// Owner is the state that the owner left. Its maintenance records are authoritative for the
+	// processes that are older than its writer.
+	Owner *State
+	// List is the state with the latest list, of an older or a newer process.
+	List *State
+}
+
 // Ownership is what a process may do with the state that it finds.
 type Ownership int
 
--- a/internal/handover/files.go
+++ b/internal/handover/files.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,10 +52,11 @@
 	id        int      // of this process, random: PIDs may repeat in another PID namespace
 	runFile   *os.File // locked while this process is alive
 	mu        sync.Mutex
-	epoch     uint64                 // of this process's ownership; 0: never owned
-	lastRead  map[string]os.FileInfo // the files last read by PollNewer, by name
+	epoch     atomic.Uint64 // of this process's ownership; 0: never owned; changed with mu held
 
-	// Separate from mu, which is held during slow disk operations.
+	// The following are separate from mu, which is held during slow disk operations.
+	pollMu    sync.Mutex
+	lastRead  map[string]os.FileInfo // the files last read by PollSiblings, by name
 	reportMu  sync.Mutex
 	ownReport processReport // in this process's own file
 }
@@ -130,7 +132,7 @@
 
 // write replaces a state atomically: a reader sees the old one or the new one.
 func (d *SharedDir) write(name string, state *handoff.State) error {
-	state.Version, state.Epoch, state.Owner, state.Node = handoff.FormatVersion, d.epoch, d.id, d.node
+	state.Version, state.Epoch, state.Owner, state.Node = handoff.FormatVersion, d.epoch.Load(), d.id, d.node
 	raw, err := Encode(state)
 	if err != nil {
 		return err
@@ -161,11 +163,11 @@
 		}
 	}
 	found, failure = d.read(stateName)
-	d.epoch = d.highestEpoch() + 1 // if the state is unreadable, running processes still report their epochs
+	epoch := d.highestEpoch() + 1 // if the state is unreadable, running processes still report their epochs
 	if found != nil {
-		d.epoch = max(d.epoch, found.Epoch+1)
+		epoch = max(epoch, found.Epoch+1)
 	}
-	d.updateReport(func(report *processReport) { report.epoch = d.epoch })
+	d.setEpoch(epoch)
 	updated := handoff.State{}
 	if found != nil {
 		updated = *found
@@ -176,8 +178,14 @@
 	return found, failure
 }
 
+// setEpoch changes this process's epoch and reports it.
+func (d *SharedDir) setEpoch(epoch uint64) {
+	d.epoch.Store(epoch)
+	d.updateReport(func(report *processReport) { report.epoch = epoch })
+}
+
 // Store writes the state. If a newer process has taken ownership, only the list is written, for
-// PollNewer of that process, and newer is the state that it left, whose maintenance records are
+// PollSiblings of that process, and newer is the state that it left, whose maintenance records are
 // authoritative. If that process is running, the error is ErrTakenOver; otherwise this process
 // becomes the owner again, and its next state is written.
 func (d *SharedDir) Store(state *handoff.State) (newer *handoff.State, err error) {
@@ -189,38 +197,58 @@
 	}
 	defer unlock()
 	found, _ := d.read(stateName) // an unreadable state is replaced
-	switch handoff.DecideOwnership(found, d.epoch, found != nil && d.isRunning(found.Owner)) {
+	switch handoff.DecideOwnership(found, d.epoch.Load(), found != nil && d.isRunning(found.Owner)) {
 	case handoff.Yield:
 		if handoff.IsNewerList(*found, *state) {
 			err = d.write(listName, &handoff.State{WrittenAt: state.WrittenAt, Generation: state.Generation, ListReceivedAt: state.ListReceivedAt, List: state.List})
 		}
 		return found, errors.Join(ErrTakenOver, err)
 	case handoff.Reclaim:
-		d.epoch = found.Epoch + 1
-		d.updateReport(func(report *processReport) { report.epoch = d.epoch })
+		d.setEpoch(found.Epoch + 1)
 		return found, nil
 	}
 	return nil, d.write(stateName, state)
 }
 
-// PollNewer returns what another process of the node has written since the last call: the state of
-// a newer process, or the list received by an older one. It returns nil if there is nothing new
-// that is readable.
-func (d *SharedDir) PollNewer() (newest *handoff.State) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, name := range []string{stateName, listName} {
-		info, err := os.Stat(filepath.Join(d.dir, name))
-		if err != nil || d.lastRead[name] != nil && os.SameFile(info, d.lastRead[name]) && info.ModTime().Equal(d.lastRead[name].ModTime()) {
-			continue // each write creates a new file
-		}
-		d.lastRead[name] = info
-		state, err := d.read(name)
-		if err == nil && state != nil && state.Owner != d.id && state.Node == d.node && (newest == nil || handoff.IsNewerList(*newest, *state)) {
-			newest = state
-		}
+// PollSiblings returns what other processes of the node have written since the last call, as far
+// as it is readable. It waits for no disk operation of Store.
+func (d *SharedDir) PollSiblings() (siblings handoff.SiblingStates) {
+	d.pollMu.Lock()
+	defer d.pollMu.Unlock()
+	state, list := d.readIfChanged(stateName), d.readIfChanged(listName)
+	siblings.Owner, siblings.List = state, state
+	if state == nil || list != nil && handoff.IsNewerList(*state, *list) {
+		siblings.List = list
+	}
+	return siblings
+}
+
+// readIfChanged returns a state that another process has written since the last call; nil if there
+// is none that is readable.
+func (d *SharedDir) readIfChanged(name string) *handoff.State {
+	info, err := os.Stat(filepath.Join(d.dir, name))
+	if err != nil {
+		return nil
+	}
+	last := d.lastRead[name]
+	if last != nil && os.SameFile(info, last) && info.ModTime().Equal(last.ModTime()) { // each write creates a new file
+		return nil
+	}
+	state, err := d.read(name)
+	if err != nil { // for lack of a descriptor, for example: the next call reads it again
+		return nil
+	}
+	d.lastRead[name] = info
+	if state == nil || state.Owner == d.id || state.Node != d.node {
+		return nil
 	}
-	return newest
+	return state
+}
+
+// IsNewer reports whether a state was written by a newer process than this one. A process that has
+// become the owner again is newer than the one that it replaced.
+func (d *SharedDir) IsNewer(state *handoff.State) bool {
+	return handoff.DecideOwnership(state, d.epoch.Load(), true) == handoff.Yield
 }
 
 // CheckOwner returns ErrTakenOver if a newer process owns the node's state and is running.
@@ -228,7 +256,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	found, _ := d.read(stateName)
-	if handoff.DecideOwnership(found, d.epoch, found != nil && d.isRunning(found.Owner)) == handoff.Yield {
+	if handoff.DecideOwnership(found, d.epoch.Load(), found != nil && d.isRunning(found.Owner)) == handoff.Yield {
 		return ErrTakenOver
 	}
 	return nil
--- a/internal/handover/files_test.go
+++ b/internal/handover/files_test.go
@@ -217,8 +217,7 @@
 	dir := t.TempDir()
 	old := openProcess(t, dir)
 	old.TakeOwnership()
-	old.epoch = uint64(time.Now().Add(time.Hour).UnixMilli()) // earlier versions derived epochs from the clock
-	old.updateReport(func(s *processReport) { s.epoch = old.epoch })
+	old.setEpoch(uint64(time.Now().Add(time.Hour).UnixMilli())) // earlier versions derived epochs from the clock
 	if err := os.WriteFile(filepath.Join(dir, stateName), []byte("torn"), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -267,37 +266,112 @@
 	}
 	old.TakeOwnership()
 	old.Store(listState(1, 5))
-	if s := old.PollNewer(); s != nil {
+	if s := old.PollSiblings().List; s != nil {
 		t.Errorf("the older process received its own state: %+v", s)
 	}
 	next.TakeOwnership()
-	next.PollNewer()
+	next.PollSiblings()
 	if _, err := old.Store(listState(2, 6)); !errors.Is(err, ErrTakenOver) {
 		t.Fatal(err)
 	}
-	if s := next.PollNewer(); s == nil || s.Generation != 6 || len(s.List) != 1 {
+	if s := next.PollSiblings().List; s == nil || s.Generation != 6 || len(s.List) != 1 {
 		t.Errorf("the newer process received %+v", s)
 	}
-	if s := next.PollNewer(); s != nil {
+	if s := next.PollSiblings().List; s != nil {
 		t.Errorf("the newer process received a state twice: %+v", s)
 	}
-	old.PollNewer()
+	old.PollSiblings()
 	if _, err := next.Store(listState(3, 7)); err != nil {
 		t.Fatal(err)
 	}
-	if s := old.PollNewer(); s == nil || s.Generation != 7 {
+	if s := old.PollSiblings().List; s == nil || s.Generation != 7 {
 		t.Errorf("the older process received %+v", s)
 	}
 	if _, err := old.Store(listState(2, 6)); !errors.Is(err, ErrTakenOver) {
 		t.Fatal(err)
 	}
-	if s := next.PollNewer(); s != nil {
+	if s := next.PollSiblings().List; s != nil {
 		t.Errorf("the newer process received an outdated list: %+v", s)
 	}
 	if err := os.WriteFile(filepath.Join(dir, listName), []byte("torn"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if s := next.PollNewer(); s != nil {
+	if s := next.PollSiblings().List; s != nil {
 		t.Errorf("the newer process accepted a corrupt file: %+v", s)
 	}
 }
+
+// The maintenance records of the owner reach older processes with the next poll, whether or not
+// they store anything, and also while their own store waits for a disk.
+func TestOwnersMaintenanceReachesOlderProcesses(t *testing.T) {
+	dir := t.TempDir()
+	oldest, old, next := openProcess(t, dir), openProcess(t, dir), openProcess(t, dir)
+	for _, process := range []*SharedDir{oldest, old, next} {
+		process.TakeOwnership()
+	}
+	state := exampleState()
+	if _, err := next.Store(state); err != nil {
+		t.Fatal(err)
+	}
+	newerList := &handoff.State{Generation: state.Generation + 1, ListReceivedAt: time.Hour}
+	if _, err := old.Store(newerList); !errors.Is(err, ErrTakenOver) { // written to the list file, without maintenance records
+		t.Fatal(err)
+	}
+	for _, process := range []*SharedDir{oldest, old} {
+		process.mu.Lock() // as during a slow disk operation
+		siblings := process.PollSiblings()
+		if siblings.Owner == nil || !process.IsNewer(siblings.Owner) || !reflect.DeepEqual(siblings.Owner.Maintenance, state.Maintenance) {
+			t.Errorf("an older process received %+v", siblings.Owner)
+		}
+		process.mu.Unlock()
+		if again := process.PollSiblings(); again.Owner != nil {
+			t.Errorf("an older process received a state twice: %+v", again.Owner)
+		}
+	}
+	if siblings := next.PollSiblings(); siblings.Owner != nil || siblings.List == nil || siblings.List.Generation != newerList.Generation {
+		t.Errorf("the owner received %+v", siblings)
+	}
+	found, _ := old.read(stateName)
+	next.runFile.Close() // exits
+	if _, err := old.Store(state); err != nil {
+		t.Fatal(err)
+	}
+	if old.IsNewer(found) {
+		t.Error("a state is newer than the process that has replaced its owner")
+	}
+}
+
+// Guards against missing a change for as long as the file stays the same: one that could not be
+// read is read again with the next poll.
+func TestUnreadableSiblingStateIsReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	old, next := openProcess(t, dir), openProcess(t, dir)
+	old.TakeOwnership()
+	next.TakeOwnership()
+	if _, err := next.Store(exampleState()); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, stateName)
+	info, err := os.Stat(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rewrite := func(content []byte) { // in place, so that it is the same file with the same time
+		t.Helper()
+		if err := errors.Join(os.WriteFile(path, content, 0o600), os.Chtimes(path, info.ModTime(), info.ModTime())); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rewrite(whole[:len(whole)-1])
+	if siblings := old.PollSiblings(); siblings.Owner != nil {
+		t.Errorf("accepted %+v", siblings.Owner)
+	}
+	rewrite(whole)
+	if siblings := old.PollSiblings(); siblings.Owner == nil {
+		t.Error("the state is not read again")
+	}
+}
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -21,6 +21,7 @@
 	id            string
 	inMaintenance bool
 	adopt         *handoff.State // instead of a command: the state of a newer process
+	onlyIfNewer   bool           // adopt it only if its process is newer than this one by then
 	result        chan commandResult
 }
 
@@ -102,7 +103,9 @@
 func (n *Node) applyCommand(cmd command) {
 	var result commandResult
 	if cmd.adopt != nil {
-		n.adoptMaintenance(cmd.adopt)
+		if !cmd.onlyIfNewer || n.stateStore.IsNewer(cmd.adopt) {
+			n.adoptMaintenance(cmd.adopt)
+		}
 		cmd.result <- result
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,7 @@
 	}
 	if n.stateStore != nil {
 		go n.runStateStore()
+		go n.runSiblingPoll()
 	}
 	if n.fleet != nil && n.fleet.cfg.RecordFile != "" {
 		go n.writeRecords()
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"log"
 	"slices"
@@ -17,8 +18,8 @@
 // discovery or operators are stored at once.
 const saveInterval = 500 * time.Millisecond
 
-// siblingPollInterval limits the delay after which a process sees the list of another
-// process of its node. It is well below the grace for drains.
+// siblingPollInterval limits the delay after which a process sees the list and the
+// maintenance records of another process of its node. It is well below the grace for drains.
 const siblingPollInterval = 50 * time.Millisecond
 
 // StateStore stores the state for the process that takes over from this one.
@@ -28,9 +29,12 @@
 	Store(*handoff.State) (newer *handoff.State, err error)
 	// CheckOwner returns an error if another process owns the node's state.
 	CheckOwner() error
-	// PollNewer returns a state that another process has written since the last call, or
-	// nil.
-	PollNewer() *handoff.State
+	// PollSiblings returns what other processes have written since the last call. It does
+	// not wait for Store.
+	PollSiblings() handoff.SiblingStates
+	// IsNewer reports whether a state was written by a newer process than this one. It does
+	// not block.
+	IsNewer(*handoff.State) bool
 }
 
 // TakeOver restores the state that an earlier process of this node left, if found is not
@@ -90,14 +94,8 @@
 
 // runStateStore writes the queued states until the loop has ended.
 func (n *Node) runStateStore() {
-	poll := time.NewTicker(siblingPollInterval)
-	defer poll.Stop()
 	for {
 		select {
-		case <-poll.C:
-			if state := n.stateStore.PollNewer(); state != nil {
-				n.post(siblingState{state})
-			}
 		case state := <-n.pendingState:
 			if err := n.store(state); err != nil && !errors.Is(err, handover.ErrTakenOver) {
 				log.Printf("not kept for a next process: %v", err)
@@ -108,6 +106,35 @@
 	}
 }
 
+// runSiblingPoll applies what other processes of the node write, until the loop has ended. It
+// is separate from runStateStore, whose disk operations may take longer than the grace for
+// drains.
+func (n *Node) runSiblingPoll() {
+	poll := time.NewTicker(siblingPollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-poll.C:
+			n.pollSiblings()
+		case <-n.done:
+			return
+		}
+	}
+}
+
+// pollSiblings applies what other processes of the node have written since the last call.
+// Maintenance records are applied like an operator's command, before queued events: a server
+// that the newer process took out of service gets nothing new from this one either.
+func (n *Node) pollSiblings() {
+	siblings := n.stateStore.PollSiblings()
+	if siblings.Owner != nil && n.stateStore.IsNewer(siblings.Owner) {
+		n.submitCommand(context.Background(), command{adopt: siblings.Owner, onlyIfNewer: true})
+	}
+	if siblings.List != nil {
+		n.post(siblingState{siblings.List})
+	}
+}
+
 // store writes a state. If a newer process owns the node, its maintenance records are
 // adopted.
 func (n *Node) store(state *handoff.State) error {
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -15,9 +15,11 @@
 
 // memoryStore is a StateStore that holds the state in memory.
 type memoryStore struct {
-	stored *handoff.State
-	newer  *handoff.State
-	err    error
+	stored   *handoff.State
+	newer    *handoff.State
+	err      error
+	siblings handoff.SiblingStates
+	isNewer  bool
 }
 
 func (m *memoryStore) Store(s *handoff.State) (*handoff.State, error) {
@@ -26,8 +28,9 @@
 	}
 	return m.newer, m.err
 }
-func (m *memoryStore) CheckOwner() error         { return m.err }
-func (m *memoryStore) PollNewer() *handoff.State { return nil }
+func (m *memoryStore) CheckOwner() error                   { return m.err }
+func (m *memoryStore) PollSiblings() handoff.SiblingStates { return m.siblings }
+func (m *memoryStore) IsNewer(*handoff.State) bool         { return m.isNewer }
 
 // setMaintenance applies a command as the loop does.
 func setMaintenance(n *Node, id string, inMaintenance bool) error {
@@ -208,3 +211,29 @@
 		t.Error("the older state was stored")
 	}
 }
+
+// Guards against an ending process that sends to a server which the newer process has taken
+// out of service: its records are in force with the poll, before anything is stored. A process
+// that has become the owner again ignores them.
+func TestOldProcessAppliesOwnersMaintenanceWithPoll(t *testing.T) {
+	for _, isNewer := range []bool{true, false} {
+		cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+		n := New(cfg)
+		store := &memoryStore{err: handover.ErrTakenOver, isNewer: isNewer, siblings: handoff.SiblingStates{
+			Owner: &handoff.State{Maintenance: []maintenance.Record{{ID: "s-1", InMaintenance: true}}}}}
+		n.TakeOver(nil, store)
+		n.applyListUpdate(discovery.Update{Kind: balance.ListCached, List: cfg.InitialList})
+		ctx, stop := context.WithCancel(context.Background())
+		go n.loop(ctx)
+		n.pollSiblings()
+		server := n.servers[n.serverIDs["s-1"]]
+		if server.Disabled() != isNewer {
+			t.Errorf("newer %v: the server is disabled: %v", isNewer, server.Disabled())
+		}
+		stop()
+		<-n.done
+		if n.maintenance.InMaintenance("s-1") != isNewer {
+			t.Errorf("newer %v: in maintenance: %v", isNewer, n.maintenance.InMaintenance("s-1"))
+		}
+	}
+}
