A command that comes while a process becomes the owner again is not undone

Cause: the old process becomes the owner again in Store, which returns the records that the dead one left. Their adoption was posted to the loop's event queue, and commands overtake events. A command in between was applied, stored and answered, and then replaced by the adopted records. Evidence: TestCommandWhileBecomingOwnerAgainIsKept forces that order; it is not known from any run of processes.

Change: the adoption is a command, and no other one is accepted between Store and it (storeMu). TestAdoptingANewerStateDoesNotBusyLoop and TestMaintenanceCommandsGoToTheOwner serve commands in place of events; their checks are the same.

--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -67,6 +67,10 @@
 		if err := n.stateStore.CheckOwner(); err != nil {
 			return err
 		}
+		// Guards against a command that is applied between the Store that makes this process
+		// the owner again and the adoption of the records found there, which would undo it.
+		n.storeMu.Lock()
+		defer n.storeMu.Unlock()
 	}
 	cmd := command{id: id, inMaintenance: inMaintenance}
 	for {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,7 @@
 	stateStore     StateStore            // nil: no state is handed over
 	pendingState   chan *handoff.State   // latest state that is still to be stored
 	stateQueuedAt  time.Time             // when the latest state was queued
-	storeMu        sync.Mutex            // held while a state is stored
+	storeMu        sync.Mutex            // held while a state is stored and its outcome is applied
 	storedAt       balance.Time          // WrittenAt of the state stored last
 	outcome        balance.AttemptEnded  // reused between calls to avoid allocation
 	fleet          *fleet                // nil: disabled
@@ -97,7 +97,6 @@
 	}
 	answerDeadline struct{} // shutdown: every open request gets its final response now
 	reload         struct{ discovery string }
-	adoptState     struct{ *handoff.State } // from a newer process, whose maintenance records take precedence
 	siblingState   struct{ *handoff.State } // from another process of this node, whose list may be newer
 )
 
@@ -272,8 +271,6 @@
 		if e.Source == nil || e.Source == n.source { // ignores updates from a former address
 			n.applyListUpdate(e)
 		}
-	case adoptState:
-		n.adoptMaintenance(e.State)
 	case siblingState:
 		n.adoptSiblingList(e.State)
 	case fleetDatagram:
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -136,20 +136,20 @@
 }
 
 // store writes a state. If a newer process owns the node, its maintenance records are
-// adopted.
+// adopted, before any other command is accepted.
 func (n *Node) store(state *handoff.State) error {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
 	newer, err := n.storeIfNewer(state)
 	if newer != nil {
-		n.post(adoptState{newer})
+		n.submitCommand(context.Background(), command{adopt: newer})
 	}
 	return err
 }
 
 // storeIfNewer writes a state unless a later one is stored already, so that an older queued
-// state cannot overwrite an acknowledged command.
+// state cannot overwrite an acknowledged command. It must be called with storeMu held.
 func (n *Node) storeIfNewer(state *handoff.State) (newer *handoff.State, err error) {
-	n.storeMu.Lock()
-	defer n.storeMu.Unlock()
 	if state.WrittenAt < n.storedAt {
 		return nil, nil
 	}
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -18,11 +18,18 @@
 	stored   *handoff.State
 	newer    *handoff.State
 	err      error
+	left     *handoff.State // by a newer process that has died: the next Store returns it
+	found    chan bool      // receives a value when Store has returned left
 	siblings handoff.SiblingStates
 	isNewer  bool
 }
 
 func (m *memoryStore) Store(s *handoff.State) (*handoff.State, error) {
+	if left := m.left; left != nil {
+		m.left = nil
+		m.found <- true
+		return left, nil
+	}
 	if m.err == nil {
 		m.stored = s
 	}
@@ -153,9 +160,6 @@
 	if err := n.store(&handoff.State{WrittenAt: n.now()}); err != nil { // the newer process has exited
 		t.Fatal(err)
 	}
-	// Commands overtake events, so wait until the loop has handled the posted one.
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && len(n.events) > 0; time.Sleep(time.Millisecond) {
-	}
 	if err := n.SetMaintenance(ctx, "nobody", true); !errors.Is(err, maintenance.ErrUnknown) {
 		t.Errorf("unknown ID: %v", err)
 	}
@@ -166,6 +170,50 @@
 	}
 }
 
+// serveCommands applies commands as the loop does until a call returns.
+func serveCommands(n *Node, returned <-chan error) error {
+	for {
+		select {
+		case cmd := <-n.commands:
+			n.applyCommand(cmd)
+		case err := <-returned:
+			return err
+		}
+	}
+}
+
+// start runs a function in a goroutine and returns a channel for its result.
+func start(call func() error) <-chan error {
+	result := make(chan error, 1)
+	go func() { result <- call() }()
+	return result
+}
+
+// Guards against losing an operator's command that comes while the process becomes the owner
+// again, as the newer one has died: the records that this one left are adopted before the
+// command, not after it.
+func TestCommandWhileBecomingOwnerAgainIsKept(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	n := New(cfg)
+	n.applyListUpdate(discovery.Update{Kind: balance.ListCached, List: cfg.InitialList})
+	store := &memoryStore{found: make(chan bool, 1), left: &handoff.State{Maintenance: []maintenance.Record{{ID: "s-1", InMaintenance: true}}}}
+	n.TakeOver(nil, store)
+	stored := start(func() error { return n.store(&handoff.State{WrittenAt: n.now()}) })
+	<-store.found
+	entered := start(func() error { return n.SetMaintenance(context.Background(), "s-0", true) })
+	for _, returned := range []<-chan error{entered, stored} {
+		if err := serveCommands(n, returned); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for len(n.events) > 0 {
+		n.handleEvent(<-n.events)
+	}
+	if !n.maintenance.InMaintenance("s-0") || !n.maintenance.InMaintenance("s-1") {
+		t.Errorf("in force: %+v", n.maintenance.Records())
+	}
+}
+
 // The old process must not loop on rereading the state of the newer one.
 func TestAdoptingANewerStateDoesNotBusyLoop(t *testing.T) {
 	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2")
@@ -177,7 +225,8 @@
 	for ; turns < 10; turns++ { // the loop and the state store in turn
 		select {
 		case s := <-n.pendingState:
-			n.store(s)
+			serveCommands(n, start(func() error { return n.store(s) }))
+			continue
 		default:
 		}
 		select {
