Requests wait for the reuse delay where few do, and dial only where waits are frequent

Cause: it opened a new connection once the waits exceeded the time of the last dial, which is a fraction of a millisecond on a good network.

Change: a new connection is opened if more than 0.05 requests have waited in the mean since the last one, not counting 80 ms of waits.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -85,11 +85,7 @@
 	}
 	c := reserved.conn
 	if c == nil {
-		dialStart := time.Now()
 		netConn, err := p.connect(ctx, reserved.addr)
-		if !isCancelled(ctx) {
-			p.noteDialTime(server, time.Since(dialStart))
-		}
 		if err != nil {
 			p.discard(nil)
 			if isCancelled(ctx) || neterr.IsLocalTransient(err) { // not a server failure
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -29,8 +29,8 @@
 	addr           string
 	startedAt      balance.Time
 	idle           []*conn       // most recently used last
-	reuseWaits     time.Duration // in all since a connection was opened; see Pool.reserve
-	dialTime       time.Duration // of the last dial, successful or not
+	reuseWaits     time.Duration // in all since connOpenedAt; see Pool.reserve
+	connOpenedAt   time.Time     // when a connection was last opened
 }
 
 // Disable forbids new messages to the server, which drains or has been removed. Enable
--- a/internal/backend/reuse.go
+++ b/internal/backend/reuse.go
@@ -15,6 +15,15 @@
 // milliseconds late would be matched to the next request on the connection.
 const reuseDelay = 20 * time.Millisecond
 
+const (
+	// maxMeanWaiting is the mean number of requests waiting for reuse of a server's
+	// connections from which on it gets another connection.
+	maxMeanWaiting = 0.05
+	// freeWaits is how long requests may wait in all after a connection was opened before the
+	// mean counts: a few waits in a row are preferred to a dial, which may fail.
+	freeWaits = 4 * reuseDelay
+)
+
 // errConnLimit is returned if the pool's connection limit is reached and no connection is
 // idle.
 var errConnLimit = errors.New("connection limit reached")
@@ -50,15 +59,15 @@
 }
 
 // reserve takes the most recently used idle connection whose reuse delay is over, else the
-// one whose delay ends first. A new one is to be opened if there is none, or if requests would
-// have waited for reuse, in all since the last dial, for longer than that dial took.
+// one whose delay ends first. A new one is to be opened if there is none, or if too many
+// requests wait.
 func (p *Pool) reserve(server *Server) (reservation, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
 		now := time.Now()
 		i, wait := p.pickIdle(server, now)
-		if i == noIdleConn || wait > 0 && server.reuseWaits+wait > server.dialTime && p.open < p.maxConns {
+		if i == noIdleConn || wait > 0 && p.open < p.maxConns && tooManyWait(server, wait, now) {
 			break
 		}
 		c := server.idle[i]
@@ -76,15 +85,15 @@
 		return reservation{}, errConnLimit
 	}
 	p.open++
-	server.reuseWaits = 0
+	server.reuseWaits, server.connOpenedAt = 0, time.Now()
 	return reservation{addr: server.addr, startedAt: server.startedAt}, nil
 }
 
-// noteDialTime records how long a dial to a server took, successful or not.
-func (p *Pool) noteDialTime(server *Server, dialTime time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	server.dialTime = dialTime
+// tooManyWait reports whether, with one more wait, more than maxMeanWaiting requests have
+// waited in the mean since the server's last connection was opened.
+func tooManyWait(server *Server, wait time.Duration, now time.Time) bool {
+	waited := server.reuseWaits + wait - freeWaits
+	return waited.Seconds() > maxMeanWaiting*now.Sub(server.connOpenedAt).Seconds()
 }
 
 // noIdleConn is the index that pickIdle returns for a server without idle connections.
