--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,47 +15,47 @@
 )
 
 const (
-	tickInterval          = 25 * time.Millisecond  // interval of the periodic checks
-	modeValidity          = time.Second            // lifetime of an imposed mode
-	shedInterval          = 500 * time.Millisecond // update period of q1 and q2
-	targetFraction        = 0.4                    // of a target latency, for the class's mean latency
-	queueFactor           = 3.0                    // multiple of the unloaded latency
-	baseLatencyNoise      = 0.15                   // relative, of a class's mean latency
-	lowFraction           = 0.5                    // L / H
-	blockFactor           = 2.0                    // R / H
-	localQueueDelay       = 0.025                  // s, possible queueing delay within this node
+	tickInterval          = 25 * time.Millisecond  // interval of the periodic checks: well under any target latency
+	modeValidity          = time.Second            // the paper's oc-validity: an imposed mode expires after it
+	shedInterval          = 500 * time.Millisecond // update period of q1 and q2, well under a disturbance
+	targetFraction        = 0.4                    // of a target latency, for the class's mean: tails are long
+	queueFactor           = 3.0                    // multiple of the unloaded latency: keeps cores busy
+	baseLatencyNoise      = 0.15                   // relative, of a class's mean latency, by chance alone
+	lowFraction           = 0.5                    // L / H: the hysteresis
+	blockFactor           = 2.0                    // R / H: leaves room for priority requests
+	localQueueDelay       = 0.025                  // s: a wait this short may be this node's own, for a core
 	busyFactor            = 1.5                    // multiple of the in-flight count at peak rates
-	priorityValueFloor    = 0.1                    // of the highest value
-	initialWindow         = 4.0                    // requests per server, over all nodes, before measurements
-	reportMargin          = 1.25                   // multiple of H for server load reports
-	minWindow             = 2.0                    // requests per server, over all nodes
+	priorityValueFloor    = 0.1                    // of the highest value: requests up to it never have priority
+	initialWindow         = 4.0                    // requests per server, over all nodes, at first: no flood
+	reportMargin          = 1.25                   // multiple of H for server load reports, which are late
+	minWindow             = 2.0                    // requests per server, over all nodes, in a quiet fleet too
 	minAnswersPerServer   = 2.0                    // per server, before measurements are used
-	warmupMinRate         = 4.0                    // 1/s, over all nodes
-	warmupGrowth          = 0.6                    // of the overload factor times the answer rate
-	fleetRateWeight       = 0.3                    // weight of the mean rate of all servers in H
-	peakDecayTime         = 600.0                  // s, for peak rates and unloaded latency
-	ejectionThreshold     = 3                      // failures in a row, or sends without an answer
-	maxRunProbability     = 1e-4                   // probability of a run of failures by chance
-	silenceFactor         = 4.0                    // multiple of the expected latency
+	warmupMinRate         = 4.0                    // 1/s, over all nodes, if there is no warm server to compare
+	warmupGrowth          = 0.6                    // of the overload factor times the answer rate it has shown
+	fleetRateWeight       = 0.3                    // weight of the mean rate of all servers in H, against noise
+	peakDecayTime         = 600.0                  // s, for peak rates and unloaded latency: over a disturbance
+	ejectionThreshold     = 3                      // failures in a row, or sends without an answer: fewer may be chance
+	maxRunProbability     = 1e-4                   // a run of failures less probable than this by chance is none
+	silenceFactor         = 4.0                    // multiple of the expected latency until silence counts
 	minTrialBackoff       = 500 * time.Millisecond // doubles with each trial
-	maxTrialBackoff       = 4 * time.Second
-	retryRatio            = 0.1  // retries per arrival
-	retryBurst            = 10.0 // retries saved up at most
-	openFraction          = 0.8  // of MaxOpenRequests, for non-priority requests
-	retryAfterFraction    = 0.15 // of the target latency, jittered
-	idleLatencyFactor     = 1.2  // of the lowest mean latency: least target latency
-	arrivalGain           = 0.3  // weight of a period in the smoothed arrivals
-	minAdmitFraction      = 0.02 // of the arrivals
-	nodesPerServer        = 9    // in a large fleet
-	largeFleetEnter       = 28   // nodes
-	largeFleetExit        = 20   // nodes
-	minSubsetSize         = 4    // servers
-	serversPerRequest     = 1.5  // servers used per open request
-	openGain              = 0.1  // weight of a period in the smoothed open requests
-	ownSampleNodes        = 10.0 // nodes per server up to which a node's own samples suffice
-	largeFleetIdleTimeout = 5 * time.Second
-	largeFleetDepth       = 3.2 // load n at targetFraction of a target latency
-	candidates            = 2   // servers compared for a non-priority request in a large fleet
+	maxTrialBackoff       = 4 * time.Second        // well under what disturbances last
+	retryRatio            = 0.1                    // retries per arrival: prevents a retry storm of this node
+	retryBurst            = 10.0                   // retries saved up at most
+	openFraction          = 0.8                    // of MaxOpenRequests, for non-priority requests
+	retryAfterFraction    = 0.15                   // of the target latency, jittered
+	idleLatencyFactor     = 1.2                    // of the lowest mean latency: least target latency
+	arrivalGain           = 0.3                    // weight of a period in the smoothed arrivals
+	minAdmitFraction      = 0.02                   // of the arrivals: admitted to learn how servers do
+	nodesPerServer        = 9                      // in a large fleet: each node costs a server connections
+	largeFleetEnter       = 28                     // nodes from which on own counts say too little of a server
+	largeFleetExit        = 20                     // nodes up to which they say enough
+	minSubsetSize         = 4                      // servers: two choices and two spare
+	serversPerRequest     = 1.5                    // servers used per open request
+	openGain              = 0.1                    // weight of a period in the smoothed open requests
+	ownSampleNodes        = 10.0                   // nodes per server up to which a node's own samples suffice
+	largeFleetIdleTimeout = 5 * time.Second        // longer, an idle connection costs its server more than a new one
+	largeFleetDepth       = 3.2                    // load n at targetFraction of a target latency
+	candidates            = 2                      // servers compared for a non-priority request in a large fleet: all know the same
 )
 
 // NextMode returns the mode that follows the given one at n requests in flight. low, high
@@ -368,7 +368,8 @@
 }
 
 // warmupLimited reports whether a warming server's token budget is used up. Tokens accrue
-// at the rate at which warm servers answer this node, scaled by the warmup progress.
+// at the rate at which warm servers answer this node, scaled by the warmup progress: this
+// node's share of the server's present capacity at most.
 func (m *Module) warmupLimited(srv *server) bool {
 	progress := (m.now - srv.warmupStart).Seconds() / math.Max(m.settings.WarmupTime.Seconds(), 1e-9)
 	if srv.warmup = srv.warmup && progress < 1; !srv.warmup {
--- a/balance/state.go
+++ b/balance/state.go
@@ -18,8 +18,8 @@
 	latencyDriftTime = 3.0  // s, drift of a stale latency towards the fleet's mean
 	latencyGain      = 0.1  // weight of a sample in a server's latency
 	failureRateGain  = 0.01 // weight of an outcome in the background failure rate
-	classGain        = 0.02 // weight of a sample in means over all servers
-	outlierCap       = 4.0  // multiple of the smoothed latency
+	classGain        = 0.02 // weight of a sample in means over all servers, which have many samples
+	outlierCap       = 4.0  // multiple of the smoothed latency: a heavy request does not make a server slow
 )
 
 // Mode is the overload state of a server as this node sees it.
--- a/balance/waits.go
+++ b/balance/waits.go
@@ -16,19 +16,19 @@
 const (
 	serviceTimeGain      = 0.05 // weight of a sample in the service time of a mean request
 	maxServiceTimeChange = 2.0  // largest factor between the service time and a peer's sample
-	extraPeers           = 4    // notified nodes per server beyond those that use it
+	extraPeers           = 4    // notified nodes per server beyond those that use it: some come to use it for a time
 	concurrencyGain      = 0.05 // weight of a reading in a server's concurrency
 	initialConcurrency   = 4.0  // requests, before a server has reported
-	minServiceFraction   = 0.2  // of the time an answer took, for the service time
+	minServiceFraction   = 0.2  // of the time an answer took, for the service time: waits are estimates
 	peerSendsPerOwn      = 4.0  // requests a server gets since its reading per own send, at most
 	shareDecay           = 0.95 // factor on the weight of earlier probes in the in-flight share
 	slowThreshold        = 2.0  // multiple of the subset's mean slowdown
 	failureRatio         = 4.0  // multiple of the service time that counts as a failure
-	crossZoneWeight      = 5.0  // delay factor per point of the cross-zone penalty
+	crossZoneWeight      = 5.0  // delay factor per point of the cross-zone penalty: 0.02 points are a tenth
 	waitFraction         = 0.15 // of the shortest target latency
 	waitHigh             = 5.0  // H, in quarters of the wait limit
 	waitLow              = 2.0  // L
-	waitBlock            = 31.0 // R: just over the shortest target latency
+	waitBlock            = 31.0 // R: just over the shortest target latency, which leaves no time for the work
 )
 
 // applyReadings updates the mean wait and slowdown of the servers in use and the wait from
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -46,13 +46,15 @@
 	number   uint64 // within this process, from 1
 	openedAt time.Time
 
-	mu              sync.Mutex
-	requests        int       // heads read so far
-	delivered       int64     // bytes returned to net/http since the last request
-	lastRead        time.Time // of the last delivered byte
-	receivingBody   bool      // the open request's body is incomplete
-	recorded        []byte    // first bounded.MaxHeaderBytes bytes delivered since the last request
-	readAhead       []byte    // read beyond the open request and not delivered yet; at most maxReadAhead
+	mu            sync.Mutex
+	requests      int       // heads read so far
+	delivered     int64     // bytes returned to net/http since the last request
+	lastRead      time.Time // of the last delivered byte
+	receivingBody bool      // the open request's body is incomplete
+	// The first bounded.MaxHeaderBytes bytes delivered since the last request: net/http drops a
+	// Content-Length beside a Transfer-Encoding.
+	recorded        []byte
+	readAhead       []byte // read beyond the open request and not delivered yet; at most maxReadAhead
 	phase           phase
 	closed          bool  // nothing more is delivered
 	goneErr         error // the read error that showed that the client had disconnected
--- a/membership/poller.go
+++ b/membership/poller.go
@@ -24,8 +24,9 @@
 	// CallTimeout is how long a call may take beyond its poll wait.
 	CallTimeout = 2200 * time.Millisecond
 	// queuedCallTimeout replaces CallTimeout where discovery is overloaded or did not answer the
-	// previous call in time. The call is probably queued there, and canceling it would lose its
-	// place while discovery still does the work for it. If discovery does not answer at all, the
+	// previous call in time. The call is probably queued there, for a time that the settings do
+	// not give (2 and 3 s have been seen), and canceling it would lose its place while discovery
+	// still does the work for it. If discovery does not answer at all, the
 	// next call still completes before a missed change counts as notified.
 	queuedCallTimeout = NotifiedAfter - CallTimeout
 
@@ -39,7 +40,8 @@
 	// DefaultPollWait is the longest time that a long poll waits for an update.
 	DefaultPollWait = 10 * time.Second
 	// ShortPollWait is the longest poll wait for which an unanswered call times out and is retried
-	// before a missed change counts as notified. Up to it, polls are not hedged.
+	// before a missed change counts as notified. Up to it, polls are not hedged: an overloaded
+	// discovery is not called twice.
 	ShortPollWait = 3 * time.Second
 	// Lower bound of the random poll wait, as a fraction of the longest: keeps nodes whose watches
 	// stall at the same time from calling at the same time.
@@ -48,7 +50,7 @@
 
 	localPollWait    = time.Second            // calls to a local agent are cheap
 	localHedgeDelay  = 150 * time.Millisecond // beyond the poll wait; the local agent normally answers at once
-	localRetryDelay  = 100 * time.Millisecond // between calls to an unresponsive agent
+	localRetryDelay  = 100 * time.Millisecond // between calls to an unresponsive agent: well under the grace for drains
 	localCallTimeout = 500 * time.Millisecond // beyond the poll wait
 )
 
@@ -335,7 +337,8 @@
 	case !answer.Full && answer.Generation < answered.From && !p.settings.Stream:
 		// Changes of an earlier generation come from a discovery that has restarted: applying them
 		// would keep removed servers in use. A full list costs discovery many times as much, so it
-		// is requested in no other case.
+		// is requested in no other case: when 300 nodes did so at once, they kept one another from
+		// getting theirs.
 		p.cancelCalls()
 		p.call(0, true, false)
 		return
--- a/readings/readings.go
+++ b/readings/readings.go
@@ -32,7 +32,7 @@
 	// MaxProbesInFlight bounds a node's unanswered probes.
 	MaxProbesInFlight = 4
 
-	jitter = 0.5 // of the probe interval; keeps nodes that start together apart
+	jitter = 0.5 // of the probe interval: nodes that start together do not probe together
 )
 
 // Reading is a measurement of a server's wait.
@@ -122,8 +122,8 @@
 	SlowdownDecayTime = 5 * time.Second
 
 	priorAttempts   = 4.0 // weight of the prior that a server is like the others, in attempts
-	maxPeerAttempts = 4.0 // attempts per peer report
-	maxPeerRatio    = 4.0 // ratio per peer report
+	maxPeerAttempts = 4.0 // attempts per peer report: limits what one peer can do
+	maxPeerRatio    = 4.0 // ratio per peer report: a peer that is wrong is one of many
 )
 
 // Slowdown estimates how slowly a server works from the attempts of all nodes: the time
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	blockedFactor     = 0.7  // factor on the target weight of a blocking server
-	minDelayFactor    = 0.8  // least factor for a delay above the median
+	blockedFactor     = 0.7  // factor on the target weight of a blocking server: a lower one would overload the others
+	minDelayFactor    = 0.8  // least factor for a delay above the median: keeps weights from swinging
 	overloadedFactor  = 0.9  // factor on the target weight of an overloaded server while any server is normal
-	maxDelayFactor    = 1.25 // largest factor for a delay below the median
+	maxDelayFactor    = 1.25 // largest factor for a delay below the median: the server may only be idle
 	deadBand          = 0.15 // relative deviation from the median delay that is ignored
 	minRelativeWeight = 0.05 // multiple of the mean weight; proxies ignore servers with weight 0
 	maxRelativeWeight = 4.0  // multiple of the mean weight
