--- a/balance/balance.go
+++ b/balance/balance.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	tickInterval          = 25 * time.Millisecond  // interval of the periodic checks: well under any target latency
+	tickInterval          = 25 * time.Millisecond  // of the periodic checks: well under any target
 	modeValidity          = time.Second            // the paper's oc-validity: an imposed mode expires after it
 	shedInterval          = 500 * time.Millisecond // update period of q1 and q2, well under a disturbance
 	targetFraction        = 0.4                    // of a target latency, for the class's mean: tails are long
@@ -34,7 +34,7 @@
 	warmupGrowth          = 0.6                    // of the overload factor times the answer rate it has shown
 	fleetRateWeight       = 0.3                    // weight of the mean rate of all servers in H, against noise
 	peakDecayTime         = 600.0                  // s, for peak rates and unloaded latency: over a disturbance
-	ejectionThreshold     = 3                      // failures in a row, or sends without an answer: fewer may be chance
+	ejectionThreshold     = 3                      // failures in a row, or unanswered sends: not chance
 	maxRunProbability     = 1e-4                   // a run of failures less probable than this by chance is none
 	silenceFactor         = 4.0                    // multiple of the expected latency until silence counts
 	minTrialBackoff       = 500 * time.Millisecond // doubles with each trial
@@ -53,9 +53,9 @@
 	serversPerRequest     = 1.5                    // servers used per open request
 	openGain              = 0.1                    // weight of a period in the smoothed open requests
 	ownSampleNodes        = 10.0                   // nodes per server up to which a node's own samples suffice
-	largeFleetIdleTimeout = 5 * time.Second        // longer, an idle connection costs its server more than a new one
+	largeFleetIdleTimeout = 5 * time.Second        // longer costs the server more than a new one
 	largeFleetDepth       = 3.2                    // load n at targetFraction of a target latency
-	candidates            = 2                      // servers compared for a non-priority request in a large fleet: all know the same
+	candidates            = 2                      // servers compared for a non-priority request
 )
 
 // NextMode returns the mode that follows the given one at n requests in flight. low, high
