An operator's command is in force at once, also while a disk blocks

Cause: CheckOwner waited for the lock that Store holds during its disk operations, and since SetMaintenance also for storeMu, before the loop got the command.

Change: CheckOwner takes no lock, as the epoch is atomic. The loop gets the command first; then, under storeMu, it is repeated, which changes nothing unless records were adopted in between, and stored.

--- a/internal/handover/files.go
+++ b/internal/handover/files.go
@@ -251,10 +251,9 @@
 	return handoff.DecideOwnership(state, d.epoch.Load(), true) == handoff.Yield
 }
 
-// CheckOwner returns ErrTakenOver if a newer process owns the node's state and is running.
+// CheckOwner returns ErrTakenOver if a newer process owns the node's state and is running. It
+// waits for no disk operation of Store.
 func (d *SharedDir) CheckOwner() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	found, _ := d.read(stateName)
 	if handoff.DecideOwnership(found, d.epoch.Load(), found != nil && d.isRunning(found.Owner)) == handoff.Yield {
 		return ErrTakenOver
--- a/internal/handover/files_test.go
+++ b/internal/handover/files_test.go
@@ -319,6 +319,9 @@
 	}
 	for _, process := range []*SharedDir{oldest, old} {
 		process.mu.Lock() // as during a slow disk operation
+		if err := process.CheckOwner(); !errors.Is(err, ErrTakenOver) {
+			t.Errorf("an older process: %v", err)
+		}
 		siblings := process.PollSiblings()
 		if siblings.Owner == nil || !process.IsNewer(siblings.Owner) || !reflect.DeepEqual(siblings.Owner.Maintenance, state.Maintenance) {
 			t.Errorf("an older process received %+v", siblings.Owner)
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -67,15 +67,24 @@
 		if err := n.stateStore.CheckOwner(); err != nil {
 			return err
 		}
-		// Guards against a command that is applied between the Store that makes this process
-		// the owner again and the adoption of the records found there, which would undo it.
-		n.storeMu.Lock()
-		defer n.storeMu.Unlock()
 	}
 	cmd := command{id: id, inMaintenance: inMaintenance}
+	// In force at once: the store may have to wait for a disk.
+	if result := n.submitCommand(ctx, cmd); result.err != nil || n.stateStore == nil {
+		return result.err
+	}
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	return n.storeCommand(ctx, cmd)
+}
+
+// storeCommand repeats a command, which changes nothing if it is in force, and stores it.
+// Guards against the loss of a command that came between the Store that made this process the
+// owner again and the adoption of the records found there. It must be called with storeMu held.
+func (n *Node) storeCommand(ctx context.Context, cmd command) error {
 	for {
 		result := n.submitCommand(ctx, cmd)
-		if result.err != nil || n.stateStore == nil {
+		if result.err != nil {
 			return result.err
 		}
 		newer, err := n.storeIfNewer(result.state)
--- a/internal/node/takeover_test.go
+++ b/internal/node/takeover_test.go
@@ -214,6 +214,55 @@
 	}
 }
 
+// blockedStore is a StateStore whose disk operations take until release is closed.
+type blockedStore struct {
+	memoryStore
+	release chan bool
+}
+
+func (s *blockedStore) Store(state *handoff.State) (*handoff.State, error) {
+	<-s.release
+	return s.memoryStore.Store(state)
+}
+
+// Guards against sending to a server that an operator took out of service while a disk blocks:
+// the command is in force at once, and is answered once it is stored.
+func TestCommandIsInForceWhileDiskBlocks(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	n := New(cfg)
+	n.applyListUpdate(discovery.Update{Kind: balance.ListCached, List: cfg.InitialList})
+	store := &blockedStore{release: make(chan bool)}
+	n.TakeOver(nil, store)
+	stored := start(func() error {
+		n.storeMu.Lock()
+		defer n.storeMu.Unlock()
+		_, err := n.storeIfNewer(&handoff.State{WrittenAt: n.now()})
+		return err
+	})
+	for n.storeMu.TryLock() { // until the store has begun
+		n.storeMu.Unlock()
+	}
+	entered := start(func() error { return n.SetMaintenance(context.Background(), "s-1", true) })
+	select {
+	case cmd := <-n.commands:
+		n.applyCommand(cmd)
+	case <-time.After(20 * time.Second):
+		t.Error("the command waits for the disk")
+	}
+	if server := n.servers[n.serverIDs["s-1"]]; !server.Disabled() {
+		t.Error("the server is still in use")
+	}
+	close(store.release)
+	for _, returned := range []<-chan error{stored, entered} {
+		if err := serveCommands(n, returned); err != nil {
+			t.Error(err)
+		}
+	}
+	if store.stored == nil || len(store.stored.Maintenance) != 1 {
+		t.Errorf("stored: %+v", store.stored)
+	}
+}
+
 // The old process must not loop on rereading the state of the newer one.
 func TestAdoptingANewerStateDoesNotBusyLoop(t *testing.T) {
 	cfg := testConfig(t, "127.0.0.1:1", "127.0.0.1:2")
