steer: the drop ratios of a zone are a function of their own

Change: zoneShedding.dropRatios holds the decision, statement by statement as before. No change of behaviour.

Measured: the tests of steer pass unchanged.

--- a/steer/weights.go
+++ b/steer/weights.go
@@ -145,26 +145,7 @@
 			zones = m.zoneStates()
 		}
 		priorityRate, otherRate := m.arrivals(zone, zones)
-		dropPriority, dropOther := 0.0, 0.0
-		if arrivals := priorityRate + otherRate; arrivals > 0 {
-			switch congested := 2*shedding.congestedTicks >= shedding.ticks; {
-			case congested: // a fraction of the current response rate, so that queues shrink
-				limit := arrivals
-				if shedding.limiting {
-					limit = math.Min(arrivals, shedding.admitRate)
-				}
-				shedding.admitRate, shedding.limiting =
-					math.Max(minAdmitFraction*arrivals, math.Min(limit, sum.answerRate*admitFraction)), true
-			case shedding.limiting:
-				shedding.admitRate = math.Max(minAdmitFraction*arrivals, shedding.admitRate*admitGrowth)
-			}
-			// Guards against dropping requests that no server is too full for: the limit applies
-			// only after congestion, until all arrivals fit under it. Otherwise proxies that join
-			// or report late would look like congestion.
-			if shedding.limiting = shedding.limiting && shedding.admitRate < arrivals; shedding.limiting {
-				dropPriority, dropOther = balance.ShedSplit(1-shedding.admitRate/arrivals, priorityRate, otherRate)
-			}
-		}
+		dropPriority, dropOther := shedding.dropRatios(priorityRate, otherRate, sum.answerRate)
 		if dropPriority != shedding.dropPriority || dropOther != shedding.dropOther {
 			shedding.dropPriority, shedding.dropOther, m.dirty = dropPriority, dropOther, true
 		}
@@ -172,6 +153,32 @@
 	}
 }
 
+// dropRatios updates the admitted rate for the period that ends now, and returns the fractions of
+// priority and other requests to drop. Rates are in requests per second.
+func (z *zoneShedding) dropRatios(priorityRate, otherRate, answerRate float64) (dropPriority, dropOther float64) {
+	arrivals := priorityRate + otherRate
+	if arrivals <= 0 {
+		return 0, 0
+	}
+	switch congested := 2*z.congestedTicks >= z.ticks; {
+	case congested: // a fraction of the current response rate, so that queues shrink
+		limit := arrivals
+		if z.limiting {
+			limit = math.Min(arrivals, z.admitRate)
+		}
+		z.admitRate, z.limiting = math.Max(minAdmitFraction*arrivals, math.Min(limit, answerRate*admitFraction)), true
+	case z.limiting:
+		z.admitRate = math.Max(minAdmitFraction*arrivals, z.admitRate*admitGrowth)
+	}
+	// Guards against dropping requests that no server is too full for: the limit applies only after
+	// congestion, until all arrivals fit under it. Otherwise proxies that join or report late would
+	// look like congestion.
+	if z.limiting = z.limiting && z.admitRate < arrivals; !z.limiting {
+		return 0, 0
+	}
+	return balance.ShedSplit(1-z.admitRate/arrivals, priorityRate, otherRate)
+}
+
 // arrivals returns the priority and other requests per second destined for a zone, by the proxies'
 // reports.
 func (m *Module) arrivals(zone string, zones map[string]*zoneState) (priorityRate, otherRate float64) {
