Review case 8: after SIGHUP nodes go on sending to a server that is gone

Cause: the watch of the new discovery starts from version 0 while the list of the old one is kept, so what the new one never had is never removed. Change: the case.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0: the same without the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standin-2 ] && [ -x ../../bin/ivylock ] && [ -x ../../bin/ivylock-control ] || exit 2
-exec ../bin/standin-2 pausing-server
+exec ../bin/standin-2 planned-restart
--- a/review/standin-2/discovery.go
+++ b/review/standin-2/discovery.go
@@ -14,6 +14,9 @@
 type discovery struct {
 	addr  string
 	delay time.Duration // of each answer
+	// changesSinceZero: the log goes back to version 0, which had no entries, so a watch from 0 is
+	// answered with all entries as changes.
+	changesSinceZero bool
 
 	mu         sync.Mutex
 	generation int
@@ -81,7 +84,7 @@
 		return
 	}
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
-	whole := err != nil || from <= 0
+	whole := err != nil || from < 0 || from == 0 && !d.changesSinceZero
 	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(hold, 60000))*time.Millisecond)
 	defer cancel()
--- /dev/null
+++ b/review/standin-2/reload.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { cases["moved-discovery"] = movedDiscovery }
+
+const (
+	toldAfter  = 6 * time.Second        // a change counts as told at the latest
+	drainGrace = 550 * time.Millisecond // and the slack of 50 ms
+)
+
+// movedDiscovery: a new configuration moves the nodes to another discovery. One of six servers is
+// gone by then, and the new discovery has never had it; its process still runs.
+func movedDiscovery(l *lab) (broken bool) {
+	d := l.deploy(6, 3, kampklip, nil)
+	gone := d.entries[5]
+	stop, clients := make(chan struct{}), sync.WaitGroup{}
+	for i := range 12 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			l.sendUntil(d.configs[i%3], stop)
+		}()
+	}
+	time.Sleep(3 * time.Second)
+	told := time.Now()
+	if l.trouble {
+		next := l.startDiscovery(d.entries[:5])
+		next.mu.Lock()
+		next.generation, next.changesSinceZero = 7, true
+		for id := range next.changedAt {
+			next.changedAt[id] = 7
+		}
+		next.mu.Unlock()
+		for i, c := range d.configs {
+			c.Discovery = next.addr
+			check(os.WriteFile(filepath.Join(l.dir, c.Name+".json"), c.json(), 0o600))
+			d.nodes[i].signal(syscall.SIGHUP)
+		}
+		l.logf("SIGHUP: discovery is at %s, version 7, without %s", next.addr, gone.InstanceID)
+	} else {
+		gone.Lifecycle = "removed"
+		d.discovery.set(gone)
+		l.logf("discovery: %s is gone", gone.InstanceID)
+	}
+	time.Sleep(20 * time.Second)
+	close(stop)
+	clients.Wait()
+	before, after, late := 0, 0, 0
+	d.mu.Lock()
+	for _, r := range d.runs {
+		switch {
+		case r.Server != gone.InstanceID:
+		case r.At.Before(told):
+			before++
+		case r.At.After(told.Add(toldAfter + drainGrace)):
+			late++
+		default:
+			after++
+		}
+	}
+	d.mu.Unlock()
+	l.logf("%s ran %d requests before, %d in the %v after, and %d later", gone.InstanceID, before, after, toldAfter+drainGrace, late)
+	if before == 0 {
+		panic(cannotRun{errors.New("the server got no request before")})
+	}
+	return late > 0
+}
+
+// sendUntil sends one request after the other on a kept connection.
+func (l *lab) sendUntil(node nodeConfig, stop chan struct{}) {
+	var conn net.Conn
+	var in *bufio.Reader
+	for {
+		select {
+		case <-stop:
+			if conn != nil {
+				conn.Close()
+			}
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		if conn == nil {
+			var err error
+			conn, err = net.Dial("tcp", node.Listen)
+			check(err)
+			in = bufio.NewReader(conn)
+		}
+		id := newID()
+		fmt.Fprintf(conn, "GET /viewer-clip?sid=%s&work=10 HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %s\r\nRequest-Class: viewer-clip\r\nRequest-Timeout-Ms: 1600\r\n\r\n", newID(), id)
+		conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		resp, err := http.ReadResponse(in, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil || resp.Close {
+			conn.Close()
+			conn = nil
+		}
+	}
+}
