--- a/review/standin-2/xds.go
+++ b/review/standin-2/xds.go
@@ -97,6 +97,13 @@
 	return servers
 }
 
+// streamCount returns how many streams it has opened.
+func (p *xdsProxy) streamCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.streams
+}
+
 // expire removes the resources whose TTL has run out, as the protocol says.
 func (p *xdsProxy) expire() {
 	for name, r := range p.held {
@@ -390,6 +397,7 @@
 	if served, failed := proxy.serve(l, 3*time.Second); failed > 0 || served == 0 {
 		panic(cannotRun{fmt.Errorf("before the restart %d requests are served and %d not", served, failed)})
 	}
+	before := proxy.streamCount()
 	if l.trouble {
 		control.signal(syscall.SIGKILL)
 		<-control.done
@@ -398,8 +406,9 @@
 		time.Sleep(stateBound)
 	}
 	served, failed := proxy.serve(l, watchFor)
-	l.logf("proxy: %d servers to use, %d streams so far; from %v after the restart on %d requests served, %d without a server", len(proxy.usable()), proxy.streams, stateBound, served, failed)
-	if proxy.streams < 2 && l.trouble {
+	streams := proxy.streamCount() - before
+	l.logf("proxy: %d servers to use, %d new streams; from %v after the restart on %d requests served, %d without a server", len(proxy.usable()), streams, stateBound, served, failed)
+	if streams == 0 && l.trouble {
 		panic(cannotRun{errors.New("the proxy did not reconnect")})
 	}
 	return failed > 0
