--- a/review/standin-2/download.go
+++ b/review/standin-2/download.go
@@ -36,7 +36,7 @@
 			if l.trouble {
 				rate = slowRate
 			}
-			started, whole := l.readAnswer(d.configs[i%3], rate)
+			started, whole := l.readAnswer(d.configs[i%3], answerSize, rate, 0)
 			if started {
 				begun.Add(1)
 			}
@@ -54,15 +54,16 @@
 }
 
 // readAnswer sends one request and reads its answer at a rate in bytes a second; 0: as fast as it
-// comes. It reports whether a 200 began, and whether all of it came.
-func (l *lab) readAnswer(node nodeConfig, rate int) (started, whole bool) {
+// comes. The server spreads the answer over a time. It reports whether a 200 began, and whether all
+// of it came.
+func (l *lab) readAnswer(node nodeConfig, size, rate int, spread time.Duration) (started, whole bool) {
 	id := newID()
 	conn, err := net.Dial("tcp", node.Listen)
 	check(err)
 	defer conn.Close()
 	began := time.Now()
-	fmt.Fprintf(conn, "GET /viewer-clip?sid=%s&size=%d HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %s\r\nRequest-Class: viewer-clip\r\nRequest-Timeout-Ms: 1600\r\n\r\n",
-		newID(), answerSize, id)
+	fmt.Fprintf(conn, "GET /viewer-clip?sid=%s&size=%d&spread=%d HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %s\r\nRequest-Class: viewer-clip\r\nRequest-Timeout-Ms: 1600\r\n\r\n",
+		newID(), size, spread.Milliseconds(), id)
 	l.logf("request %s is sent to %s", id, node.Name)
 	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 4096), nil)
 	if err != nil || resp.StatusCode != http.StatusOK {
@@ -77,11 +78,11 @@
 			beginning = string(piece[:min(n, 64)])
 		}
 		total += n
-		if errors.Is(err, io.EOF) || err == io.ErrUnexpectedEOF && total == answerSize {
+		if errors.Is(err, io.EOF) || err == io.ErrUnexpectedEOF && total == size {
 			break
 		}
 		if err != nil {
-			l.logf("request %s: CUT OFF after %d of %d bytes, %.3f s: %v", id, total, answerSize, time.Since(began).Seconds(), err)
+			l.logf("request %s: CUT OFF after %d of %d bytes, %.3f s: %v", id, total, size, time.Since(began).Seconds(), err)
 			return true, false
 		}
 		if rate > 0 {
@@ -89,5 +90,5 @@
 		}
 	}
 	l.logf("request %s: %d bytes after %.3f s", id, total, time.Since(began).Seconds())
-	return true, total == answerSize && strings.Contains(beginning, id)
+	return true, total == size && strings.Contains(beginning, id)
 }
--- a/review/standin-2/restart.go
+++ b/review/standin-2/restart.go
@@ -14,17 +14,28 @@
 // it from 3.7 s on.
 const killAfter = 20 * time.Second
 
-// plannedRestart: clients read long answers at a constant rate, some 8 s each. After a second
-// the platform tells one of three nodes to end.
+const (
+	signalAfter = time.Second
+	earlyEnd    = 3600 * time.Millisecond // after SIGTERM; SIGKILL comes no sooner than after 3.7 s
+	shortSize   = 1 << 20                 // bytes
+)
+
+// plannedRestart: clients read long answers at a constant rate, some 8 s each, and answers that
+// their servers spread over a time that ends before SIGKILL could come at the earliest. After a
+// second the platform tells one of three nodes to end.
 func plannedRestart(l *lab) (broken bool) {
 	d := l.deploy(6, 3, kampklip, nil)
 	var begun, cut atomic.Int64
 	var wg sync.WaitGroup
-	for i := range 6 {
+	for i := range 12 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			started, whole := l.readAnswer(d.configs[i%3], ordinaryRate)
+			size, rate, spread := answerSize, ordinaryRate, time.Duration(0)
+			if i >= 6 {
+				size, rate, spread = shortSize, 0, signalAfter+earlyEnd
+			}
+			started, whole := l.readAnswer(d.configs[i%3], size, rate, spread)
 			if started {
 				begun.Add(1)
 			}
@@ -33,7 +44,7 @@
 			}
 		}()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(signalAfter)
 	if l.trouble {
 		d.nodes[0].signal(syscall.SIGTERM)
 		l.logf("n0 gets SIGTERM")
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -16,7 +16,7 @@
 
 // serverMain is a server of the protocol page, a process of its own. It writes a line for each
 // request that it runs. The query parameter size gives the length of the answer, work the time
-// that it takes in milliseconds.
+// that it takes in milliseconds, spread the time over which the answer is given in pieces.
 func serverMain(args []string) {
 	flags := flag.NewFlagSet("server", flag.ExitOnError)
 	addr, name := flags.String("addr", "", "address"), flags.String("name", "", "name")
@@ -56,10 +56,18 @@
 		head := fmt.Sprintf("answer of %s to %s\n", *name, id)
 		size = max(size, len(head))
 		w.Header().Set("Content-Length", strconv.Itoa(size))
+		spread, _ := strconv.Atoi(r.URL.Query().Get("spread"))
+		began := time.Now()
 		out := bufio.NewWriterSize(w, 32<<10)
 		out.WriteString(head)
 		filler := strings.Repeat(id[:8], 128)
 		for left := size - len(head); left > 0; left -= len(filler) {
+			due := began.Add(time.Duration(spread) * time.Millisecond * time.Duration(size-left) / time.Duration(size))
+			if wait := time.Until(due); wait > 10*time.Millisecond {
+				out.Flush()
+				http.NewResponseController(w).Flush()
+				time.Sleep(wait)
+			}
 			if _, err := out.WriteString(filler[:min(left, len(filler))]); err != nil {
 				say("unfinished %s: %v", id, err)
 				return
