Review cases 7 and 8: each request of a client is in the record

Need: the record tells what was sent and answered, not only what was run. Change: a line for each request of cases 7 and 8.

--- a/review/standin-2/reload.go
+++ b/review/standin-2/reload.go
@@ -105,6 +105,11 @@
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
 		}
+		if err != nil {
+			l.logf("request %s to %s: no whole answer: %v", id, node.Name, err)
+		} else {
+			l.logf("request %s to %s: %s", id, node.Name, resp.Status)
+		}
 		if err != nil || resp.Close {
 			conn.Close()
 			conn = nil
--- a/review/standin-2/xds.go
+++ b/review/standin-2/xds.go
@@ -421,9 +421,7 @@
 		id, servers := newID(), p.usable()
 		if len(servers) == 0 {
 			failed++
-			if failed == 1 {
-				l.logf("proxy: request %s finds no server", id)
-			}
+			l.logf("proxy: request %s finds no server", id)
 			continue
 		}
 		req, err := http.NewRequest(http.MethodGet, "http://"+servers[rand.IntN(len(servers))]+"/viewer-clip?sid="+newID(), nil)
@@ -432,6 +430,7 @@
 		resp, err := http.DefaultClient.Do(req)
 		check(err)
 		resp.Body.Close()
+		l.logf("proxy: request %s: %s", id, resp.Status)
 		served++
 	}
 	return served, failed
