--- a/review/standin-2/discovery.go
+++ b/review/standin-2/discovery.go
@@ -14,6 +14,8 @@
 type discovery struct {
 	addr  string
 	delay time.Duration // of each answer
+	// onAnswer, if not nil, is called with each call and its answer.
+	onAnswer func(query string, answer list)
 	// changesSinceZero: the log goes back to version 0, which had no entries, so a watch from 0 is
 	// answered with all entries as changes.
 	changesSinceZero bool
@@ -95,6 +97,9 @@
 		d.mu.Unlock()
 		if reset || answer.Generation > from || ctx.Err() != nil {
 			time.Sleep(d.delay)
+			if d.onAnswer != nil {
+				d.onAnswer(r.URL.RawQuery, answer)
+			}
 			raw, _ := json.Marshal(answer)
 			w.Write(raw)
 			return
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -22,6 +22,7 @@
 
 	mu     sync.Mutex
 	record *os.File
+	failed error // why the case could not be run
 	procs  []*process
 }
 
@@ -52,6 +53,15 @@
 	}
 }
 
+// fail records from any goroutine that the case could not be run.
+func (l *lab) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed == nil {
+		l.failed = err
+	}
+}
+
 // logf writes a line with the time since the start of the run to the record.
 func (l *lab) logf(format string, args ...any) {
 	l.mu.Lock()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -47,6 +47,10 @@
 		os.Exit(2)
 	})
 	broken := run(l)
+	l.mu.Lock()
+	failed := l.failed
+	l.mu.Unlock()
+	check(failed)
 	if broken {
 		l.logf("verdict: the rule was broken")
 		return 1
