Observability: why a response failed or a request was rejected, memory of the process

Cause: the logs of the incident name neither what a process held nor why an attempt at a server or a request ended.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -26,6 +26,7 @@
 	Body        []byte          // of a 200 response that was read completely
 	Report      *balance.Report // nil if the response carried none
 	FirstByteAt time.Time       // when the first byte of the response arrived; zero if none did
+	Err         error           // what was wrong with the request's transmission or the response; nil if nothing, or if it was withheld
 }
 
 // Call is one message to a server. All fields but Request may be nil.
@@ -93,7 +94,7 @@
 			if isCancelled(ctx) || neterr.IsLocalTransient(err) { // not a server failure
 				return Result{Code: balance.Moot}
 			}
-			return Result{Code: balance.ConnectFailed}
+			return Result{Code: balance.ConnectFailed, Err: err}
 		}
 		c = &conn{Conn: netConn, reader: bounded.NewReader(netConn), addr: reserved.addr, startedAt: reserved.startedAt}
 	}
@@ -140,19 +141,19 @@
 func (c *conn) roundTrip(call Call, serialized []byte) (result Result, reuse bool) {
 	if err := c.write(call, serialized); err != nil {
 		if body, streamed := call.Request.Body.(*streamedBody); streamed && body.failed {
-			return Result{Code: balance.Moot}, false // the client's body failed: not a server failure
+			return Result{Code: balance.Moot, Err: err}, false // the client's body failed: not a server failure
 		}
-		return Result{Code: balance.ConnectFailed}, false // the last byte was not written, so the request has not run
+		return Result{Code: balance.ConnectFailed, Err: err}, false // the last byte was not written, so the request has not run
 	}
 	if call.OnWritten != nil {
 		call.OnWritten()
 	}
 	response, err := c.reader.ReadResponse(call.Request)
 	if errors.Is(err, bounded.ErrMalformedResponse) {
-		return Result{Code: balance.ServerError}, false // not Reset: the server responds
+		return Result{Code: balance.ServerError, Err: err}, false // not Reset: the server responds
 	}
 	if err != nil {
-		return Result{Code: balance.Reset}, false
+		return Result{Code: balance.Reset, Err: err}, false
 	}
 	result.FirstByteAt, result.Body, result.Report = response.FirstByteAt, response.Prefix, loadreport.Parse(response.Header.Get("Server-Load"))
 	switch {
@@ -166,9 +167,9 @@
 		case err == nil:
 			result.Code = balance.OK
 		case errors.Is(err, ErrAbandoned):
-			return Result{Code: balance.Cancelled}, false
+			return Result{Code: balance.Cancelled, Err: err}, false
 		default:
-			return Result{Code: balance.Reset}, false
+			return Result{Code: balance.Reset, Err: err}, false
 		}
 	case (response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusGatewayTimeout) &&
 		response.Header.Get("Not-Started") == "1":
--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -32,7 +33,10 @@
 
 // ErrMalformedResponse is returned for a response that is not valid HTTP, exceeds a limit
 // or stalls.
-var ErrMalformedResponse = errors.New("spoilt answer")
+var ErrMalformedResponse = errors.New("malformed response")
+
+// ErrStalledResponse is the ErrMalformedResponse of a response that stalled.
+var ErrStalledResponse = fmt.Errorf("stalled response: %w", ErrMalformedResponse)
 
 // Reader reads responses from a connection.
 type Reader struct {
@@ -125,7 +129,7 @@
 	switch {
 	case errors.As(err, &opErr):
 		if opErr.Timeout() && !r.stopped.Load() {
-			return nil, ErrMalformedResponse
+			return nil, ErrStalledResponse
 		}
 		return nil, err // connection failed or Stop was called
 	case (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) && r.limit.N > 0:
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -29,10 +29,12 @@
 	AttemptWritten               // Request, Attempt, Server: written completely
 	AttemptEnded                 // Request, Attempt, Server, Reason: the outcome
 	ViolationFound               // Request, Reason: the violated invariant
+	RequestRejected              // Request, Connection, Status, Reason: it did not reach the node
+	ResponseFailed               // Request, Attempt, Server, Reason: what was wrong with a server's response
 )
 
 var kindNames = [...]string{"phase", "connection opened", "connection closed", "request read", "request ended",
-	"attempt started", "attempt withheld", "attempt written", "attempt ended", "violation"}
+	"attempt started", "attempt withheld", "attempt written", "attempt ended", "violation", "request rejected", "response failed"}
 
 // String returns the name of the kind.
 func (k Kind) String() string {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -5,6 +5,9 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
 	"sync/atomic"
 
 	"ivylock/guard"
@@ -89,6 +92,10 @@
 	DialErrors          CounterVec   // by neterr.Index, of connections to servers
 	DatagramErrors      CounterVec   // by neterr.Index, of datagrams sent and received
 	RequestsLate        atomic.Int64 // read after a shutdown had closed the listener
+	RequestsUnreadable  CounterVec   // by HTTP status: answered without reaching the node
+
+	ResidentKB, HeapKB, StackKB atomic.Int64 // memory of the process in KiB: resident, of it Go's heap and stacks
+	GCPermille                  atomic.Int64 // thousandths of the processor time in garbage collection, lately
 
 	fleet atomic.Pointer[[]NamedMetric]
 }
@@ -142,6 +149,22 @@
 
 var closeReasonLabels = []string{"by_client", "timeout", "answered", "for_room", "draining", "unanswered"}
 
+// unreadableStatuses are the statuses of requests that do not reach the node.
+var unreadableStatuses = []int{http.StatusBadRequest, http.StatusMethodNotAllowed, http.StatusRequestTimeout, http.StatusRequestEntityTooLarge,
+	http.StatusRequestHeaderFieldsTooLarge, http.StatusServiceUnavailable}
+
+// CountUnreadable counts a request that was answered with a status before it reached the node.
+func (s *Set) CountUnreadable(status int) {
+	s.RequestsUnreadable.Add(slices.Index(unreadableStatuses, status))
+}
+
+func unreadableLabels() (labels []string) {
+	for _, status := range unreadableStatuses {
+		labels = append(labels, strconv.Itoa(status))
+	}
+	return labels
+}
+
 var attemptOutcomeLabels = []string{"ok", "server_error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
 
 // New returns the metrics of a node with the given request classes.
@@ -150,6 +173,7 @@
 		AttemptsEnded:       newCounterVec("attempts.ended", attemptOutcomeLabels),
 		AttemptsWithheld:    newCounterVec("attempts.withheld", guard.WithholdReasonNames),
 		RequestsRejected:    newCounterVec("requests.turned_down", rejectReasonLabels),
+		RequestsUnreadable:  newCounterVec("requests.unreadable", unreadableLabels()),
 		ConnectionsClosed:   newCounterVec("connections.closed", closeReasonLabels),
 		InvariantViolations: newCounterVec("invariants.broken", invariant.KindNames),
 		AcceptErrors:        newCounterVec("accept.errors", neterr.Names()),
@@ -206,7 +230,7 @@
 		{"attempts.repeated", &s.AttemptsRepeated}, {"connections.opened", &s.ConnectionsOpened}, {"requests.late", &s.RequestsLate}} {
 		fmt.Fprintf(&b, "app.%s:%d|c\n", c.name, c.value.Load())
 	}
-	for _, v := range []*CounterVec{&s.AttemptsEnded, &s.AttemptsWithheld, &s.RequestsRejected, &s.ConnectionsClosed, &s.InvariantViolations, &s.AcceptErrors, &s.DialErrors, &s.DatagramErrors} {
+	for _, v := range []*CounterVec{&s.AttemptsEnded, &s.AttemptsWithheld, &s.RequestsRejected, &s.RequestsUnreadable, &s.ConnectionsClosed, &s.InvariantViolations, &s.AcceptErrors, &s.DialErrors, &s.DatagramErrors} {
 		for i, label := range v.labels {
 			if label == "" {
 				continue
@@ -217,7 +241,8 @@
 	for _, g := range []struct {
 		name  string
 		value *atomic.Int64
-	}{{"open_requests", &s.OpenRequests}, {"registry_entries", &s.RegistryEntries}, {"out_of_rotation", &s.OutOfRotation}} {
+	}{{"open_requests", &s.OpenRequests}, {"registry_entries", &s.RegistryEntries}, {"out_of_rotation", &s.OutOfRotation},
+		{"process.resident_kb", &s.ResidentKB}, {"process.heap_kb", &s.HeapKB}, {"process.stack_kb", &s.StackKB}, {"process.gc_permille", &s.GCPermille}} {
 		fmt.Fprintf(&b, "app.%s:%d|g\n", g.name, g.value.Load())
 	}
 	if fleetMetrics := s.fleet.Load(); fleetMetrics != nil {
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -56,6 +56,12 @@
 app.requests.turned_down.duplicate_id:0|c
 app.requests.turned_down.full:0|c
 app.requests.turned_down.stale:0|c
+app.requests.unreadable.400:0|c
+app.requests.unreadable.405:0|c
+app.requests.unreadable.408:0|c
+app.requests.unreadable.413:0|c
+app.requests.unreadable.431:0|c
+app.requests.unreadable.503:0|c
 app.connections.closed.by_client:0|c
 app.connections.closed.timeout:0|c
 app.connections.closed.answered:0|c
@@ -146,6 +152,10 @@
 app.open_requests:0|g
 app.registry_entries:0|g
 app.out_of_rotation:0|g
+app.process.resident_kb:0|g
+app.process.heap_kb:0|g
+app.process.stack_kb:0|g
+app.process.gc_permille:0|g
 `
 	if got := string(f.Text()); got != want {
 		t.Errorf("got\n%s", got)
--- a/internal/front/events_test.go
+++ b/internal/front/events_test.go
@@ -47,6 +47,39 @@
 	}
 }
 
+// The events tell what was wrong with a server's response, and why a request did not reach the node.
+func TestFailedResponsesAndUnreadableRequestsAreExplained(t *testing.T) {
+	t.Parallel()
+	server := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Request-Id") == "stalled" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			time.Sleep(time.Second)
+			return false
+		}
+		io.WriteString(c, "no response\r\n")
+		return true
+	})
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), server.Addr))
+	for id, want := range map[string]string{"stalled": "stalled response", "malformed": "malformed response"} {
+		n.mustRequest(t, "order", id, 3*time.Second)
+		if text := string(n.Events(id)); !strings.Contains(text, "response failed") || !strings.Contains(text, want) {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+	c := dial(t, n.url)
+	io.WriteString(c, strings.Replace(getRequest("unknown"), "Request-Class: clip", "Request-Class: none", 1))
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusBadRequest {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	if text := string(n.Events("")); !strings.Contains(text, "request rejected") || !strings.Contains(text, "status=400") || !strings.Contains(text, "unknown Request-Class") {
+		t.Errorf("the rejection is not explained:\n%s", text)
+	}
+	waitFor(t, "metrics of the process", func() bool {
+		text := string(n.MetricsText())
+		return strings.Contains(text, "app.requests.unreadable.400:1|c") && !strings.Contains(text, "app.process.resident_kb:0|g")
+	})
+}
+
 // Each closed connection is counted by the reason of its close.
 func TestConnectionClosesAreCountedByReason(t *testing.T) {
 	t.Parallel()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -119,7 +119,7 @@
 		// follows the body that it saw as the next request.
 		w.Header().Set("Connection", "close")
 		if framing := conn.framing(); http10 && framing != framingLength || !http10 && framing != framingChunked {
-			http.Error(w, "a body is framed by Content-Length or, in HTTP/1.1, by chunks, not by both", http.StatusBadRequest)
+			f.reject(w, conn, errAmbiguousFraming)
 			return
 		}
 	}
@@ -134,7 +134,7 @@
 	}
 	req, err := f.readRequest(w, r, conn)
 	if err != nil {
-		f.reject(w, err)
+		f.reject(w, conn, err)
 		return
 	}
 	f.serve(w, r, req, conn)
@@ -160,7 +160,7 @@
 	response, answered := f.awaitResponse(r, req, conn, responses)
 	if rest != nil {
 		if err := rest.failure(); err != nil { // the request never became complete, so it is not counted
-			f.reject(w, err)
+			f.reject(w, conn, err)
 			return
 		}
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ivylock/balance"
+	"ivylock/internal/eventlog"
 	"ivylock/internal/node"
 )
 
@@ -24,12 +25,14 @@
 
 func (e *requestError) Error() string { return e.message }
 
+var errAmbiguousFraming = badRequestf("a body is framed by Content-Length or, in HTTP/1.1, by chunks, not by both")
+
 func badRequestf(format string, args ...any) error {
 	return &requestError{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
 // reject answers a request that did not reach the node, or whose body could not be read.
-func (f *HTTP) reject(w http.ResponseWriter, err error) {
+func (f *HTTP) reject(w http.ResponseWriter, conn *clientConn, err error) {
 	status := http.StatusBadRequest
 	var requestErr *requestError
 	switch {
@@ -38,6 +41,8 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	}
+	f.node.Metrics().CountUnreadable(status)
+	f.node.History().Add(eventlog.Event{Kind: eventlog.RequestRejected, Connection: conn.id(), Status: status, Reason: err.Error()})
 	w.Header().Set("Connection", "close") // the bytes that follow cannot be trusted to be a request
 	http.Error(w, err.Error(), status)
 }
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -176,6 +176,9 @@
 	r.outstanding--
 	e.mayHaveRun = e.Code != balance.Full && e.Code != balance.ConnectFailed && e.Code != balance.Moot
 	n.metrics.AttemptsEnded.Add(int(e.Code))
+	if e.Err != nil {
+		n.logEvent(e.attempt, eventlog.ResponseFailed, e.Err.Error())
+	}
 	n.logEvent(e.attempt, eventlog.AttemptEnded, n.metrics.AttemptsEnded.Label(int(e.Code)))
 	if e.Code == balance.OK {
 		e.server.LastResponseAt = n.now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,7 @@
 	n.discover(n.cfg.Discovery, membership.InitialState{Generation: n.list.Generation(), HaveList: true, Stagger: true})
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	go n.loop(loopCtx)
+	go n.watchResources(loopCtx)
 	// With an agent that pushes the list, the first request must already see that list.
 	if !n.cfg.Settings.ListOnDemand {
 		select {
