Fix: answers of servers that pause within the body are no longer cut off after 0.5 s

Callers saw 503 or 502 while a server was still writing a long answer. Class: a time limit of one read stands in for the time of the request. Change: only the head has 0.5 s for each read. A body of known length up to 64 KiB is awaited until the attempt's time is over, and so are the first bytes of a longer one, for which the client's time holds (Call.OnLongBody). A body of unknown length is collected for 0.5 s from its first byte and then passed on: its decoder is not read with a time limit, since one of chunks does not recover from that, but only when the connection has more. A price: an answer that never ends costs its attempt the whole time, where it was tried elsewhere after 0.5 s.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -44,6 +44,9 @@
 	MayWrite func() bool
 	// OnWritten is called once the last byte is written. From then on the request may run.
 	OnWritten func()
+	// OnLongBody is called when the head of a 200 response has come whose body may be too long to be
+	// buffered. It may extend the time of ctx.
+	OnLongBody func()
 	// OnStream is called with a 200 response that is too long to be buffered. The receiver
 	// reads it to its end and calls its Done; the exchange lasts until then.
 	OnStream func(*Stream)
@@ -148,17 +151,17 @@
 	if call.OnWritten != nil {
 		call.OnWritten()
 	}
-	response, err := c.reader.ReadResponse(call.Request)
+	response, err := c.readResponse(call)
 	if errors.Is(err, bounded.ErrMalformedResponse) {
 		return Result{Code: balance.ServerError, Err: err}, false // not Reset: the server responds
 	}
 	if err != nil {
 		return Result{Code: balance.Reset, Err: err}, false
 	}
-	result.FirstByteAt, result.Body, result.Report = response.FirstByteAt, response.Prefix, loadreport.Parse(response.Header.Get("Server-Load"))
+	result.FirstByteAt, result.Report = response.FirstByteAt, loadreport.Parse(response.Header.Get("Server-Load"))
 	switch {
 	case response.StatusCode == http.StatusOK && response.Complete:
-		result.Code = balance.OK
+		result.Code, result.Body = balance.OK, response.Prefix
 	case response.StatusCode == http.StatusOK && call.OnStream != nil:
 		done := make(chan error, 1)
 		call.OnStream(NewStream(response, func(err error) { done <- err }))
@@ -181,6 +184,21 @@
 	return result, (response.Complete || result.Code == balance.OK) && !response.Close && c.reader.BufferEmpty()
 }
 
+// readResponse reads the response to a call, of a long body only a first part.
+func (c *conn) readResponse(call Call) (*bounded.Response, error) {
+	response, err := c.reader.ReadHead(call.Request)
+	if err != nil {
+		return nil, err
+	}
+	if call.OnLongBody != nil && response.StatusCode == http.StatusOK && response.MayBeLong() {
+		call.OnLongBody()
+	}
+	if err := response.Buffer(); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
 // bufferedBody is a request body that is completely in memory.
 type bufferedBody struct{ *bytes.Reader }
 
--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -4,12 +4,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -26,9 +29,13 @@
 	// header, interim responses, MaxBufferedBody and the framing of small chunks.
 	maxBufferedResponse = 16 * MaxBufferedBody
 
-	readTimeout         = 500 * time.Millisecond // between two reads up to the end of the prefix
+	headReadTimeout     = 500 * time.Millisecond // between two reads of a head
 	streamReadTimeout   = 10 * time.Second       // between two reads of a streamed body
 	maxInterimResponses = 8                      // 1xx responses before the final one
+	// forwardDelay is how long a body of unknown length is collected after its first byte: a complete
+	// one can be replaced by another attempt's.
+	forwardDelay = 500 * time.Millisecond
+	minPrefix    = 4 << 10 // bytes
 )
 
 // ErrMalformedResponse is returned for a response that is not valid HTTP, exceeds a limit
@@ -63,15 +70,20 @@
 
 func (t timedReader) Read(b []byte) (int, error) {
 	if t.timeout > 0 {
-		t.deadlineSet = true
-		t.conn.SetReadDeadline(time.Now().Add(t.timeout))
-		if t.stopped.Load() { // Stop was called just before the deadline was set
-			t.conn.SetReadDeadline(time.Unix(1, 0))
-		}
+		t.setDeadline(time.Now().Add(t.timeout))
 	}
 	return t.conn.Read(b)
 }
 
+// setDeadline sets the read deadline.
+func (r *Reader) setDeadline(deadline time.Time) {
+	r.deadlineSet = true
+	r.conn.SetReadDeadline(deadline)
+	if r.stopped.Load() { // Stop was called just before the deadline was set
+		r.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // clearDeadline removes the read deadline, if one is set.
 func (r *Reader) clearDeadline() {
 	if r.deadlineSet {
@@ -95,51 +107,66 @@
 // BufferEmpty reports whether nothing has been read beyond the last response.
 func (r *Reader) BufferEmpty() bool { return r.buf.Buffered() == 0 }
 
-// Response is a response that has been read completely or up to its prefix.
+// Response is a response of which at least the head has been read.
 type Response struct {
 	*http.Response
-	Prefix      []byte // first part of the body; all of it if Complete
+	Prefix      []byte // first part of the body, after Buffer; all of it if Complete
 	Complete    bool
 	FirstByteAt time.Time // when the first byte of the response arrived
 	BodyLength  int64     // of the whole body; -1 if unknown before its end
 	reader      *Reader
 }
 
-// ReadResponse reads one response and skips interim responses. A body of up to
-// MaxBufferedBody is read completely, of a longer one only a prefix. After the first byte
-// each read has a timeout, so that truncated responses and garbage on an open connection
-// are detected. The error is ErrMalformedResponse if the received bytes are not a valid
-// response, otherwise that of the connection. A response with neither a length nor chunked
-// encoding is complete when its connection is closed, and not reset, within the timeout.
+// ReadResponse reads the head of a response and buffers its body.
 func (r *Reader) ReadResponse(req *http.Request) (*Response, error) {
+	resp, err := r.ReadHead(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := resp.Buffer(); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
+// ReadHead reads the head of a response and skips interim responses. After the first byte each read
+// has a timeout, so that truncated heads and garbage on an open connection are detected. The error
+// is ErrMalformedResponse if the received bytes are not a valid response, otherwise that of the
+// connection.
+func (r *Reader) ReadHead(req *http.Request) (*Response, error) {
 	r.limit.N, r.timeout = maxBufferedResponse, 0
 	if _, err := r.buf.Peek(1); err != nil {
 		return nil, err
 	}
 	firstByteAt := time.Now()
-	r.timeout = readTimeout
-	resp, err := r.parse(req)
+	r.timeout = headReadTimeout
+	resp, err := r.parseHead(req)
 	r.timeout = 0
-	if err == nil {
-		resp.FirstByteAt = firstByteAt
-		r.clearDeadline()
-		return resp, nil
+	if err != nil {
+		return nil, r.describe(err)
 	}
+	r.clearDeadline()
+	resp.FirstByteAt = firstByteAt
+	return resp, nil
+}
+
+// describe returns the error to report for one that ended the reading of a response.
+func (r *Reader) describe(err error) error {
 	var opErr *net.OpError
 	switch {
 	case errors.As(err, &opErr):
 		if opErr.Timeout() && !r.stopped.Load() {
-			return nil, ErrStalledResponse
+			return ErrStalledResponse
 		}
-		return nil, err // connection failed or Stop was called
+		return err // connection failed or Stop was called
 	case (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) && r.limit.N > 0:
-		return nil, err // connection closed
+		return err // connection closed
 	}
-	return nil, ErrMalformedResponse
+	return ErrMalformedResponse
 }
 
-// parse reads a response and fails as soon as the received bytes cannot be one.
-func (r *Reader) parse(req *http.Request) (*Response, error) {
+// parseHead reads a head and fails as soon as the received bytes cannot be one.
+func (r *Reader) parseHead(req *http.Request) (*Response, error) {
 	for range maxInterimResponses + 1 {
 		const version = "HTTP/1."
 		for n := 1; n <= len(version); n++ {
@@ -156,40 +183,121 @@
 		if httpResp.StatusCode < 200 {
 			continue
 		}
-		resp := &Response{Response: httpResp, BodyLength: httpResp.ContentLength, reader: r}
-		if resp.BodyLength > MaxBodyLength {
+		if httpResp.ContentLength > MaxBodyLength {
 			return nil, ErrMalformedResponse
 		}
-		if resp.BodyLength > MaxBufferedBody {
-			// One read: the first bytes are forwarded without waiting for more.
-			resp.Prefix = make([]byte, 4096)
-			n, err := httpResp.Body.Read(resp.Prefix)
-			if resp.Prefix = resp.Prefix[:n]; n == 0 && err != nil {
-				return nil, err
-			}
-			return resp, nil
-		}
-		if resp.BodyLength >= 0 {
-			resp.Prefix = make([]byte, resp.BodyLength)
-			_, err = io.ReadFull(httpResp.Body, resp.Prefix)
-			if err == nil {
-				_, err = httpResp.Body.Read(r.endByte[:]) // consumes the end of the body
+		return &Response{Response: httpResp, BodyLength: httpResp.ContentLength, reader: r}, nil
+	}
+	return nil, ErrMalformedResponse
+}
+
+// MayBeLong reports whether the body may be too long to be buffered.
+func (r *Response) MayBeLong() bool { return r.BodyLength < 0 || r.BodyLength > MaxBufferedBody }
+
+// Buffer reads a body of up to MaxBufferedBody completely, of a longer one only a prefix, and of one
+// of unknown length what comes within forwardDelay of its first byte. It waits as long as the server
+// takes; Stop ends it. A body with neither a length nor chunked encoding is complete when its
+// connection is closed and not reset.
+func (r *Response) Buffer() (err error) {
+	switch {
+	case r.BodyLength > MaxBufferedBody:
+		err = r.bufferStart()
+	case r.BodyLength >= 0:
+		err = r.bufferAll()
+	default:
+		err = r.collect()
+	}
+	r.reader.clearDeadline()
+	if err != nil {
+		return r.reader.describe(err)
+	}
+	return nil
+}
+
+// bufferStart reads the first bytes of a long body, which are forwarded without waiting for more.
+func (r *Response) bufferStart() error {
+	r.Prefix = make([]byte, minPrefix)
+	n, err := r.Body.Read(r.Prefix)
+	if r.Prefix = r.Prefix[:n]; n == 0 {
+		return err
+	}
+	return nil
+}
+
+// bufferAll reads a body of known length.
+func (r *Response) bufferAll() error {
+	r.Prefix = make([]byte, r.BodyLength)
+	if _, err := io.ReadFull(r.Body, r.Prefix); err != nil {
+		return err
+	}
+	_, err := r.Body.Read(r.reader.endByte[:]) // consumes the end of the body
+	if r.Complete = errors.Is(err, io.EOF); r.Complete {
+		return nil
+	}
+	return err
+}
+
+// collect reads a body of unknown length up to its end, until more than MaxBufferedBody has come, or
+// until forwardDelay after its first byte.
+func (r *Response) collect() error {
+	r.Prefix = make([]byte, 0, minPrefix)
+	var until time.Time
+	for len(r.Prefix) <= MaxBufferedBody {
+		if len(r.Prefix) > 0 {
+			if until.IsZero() {
+				until = time.Now().Add(forwardDelay)
 			}
-		} else {
-			resp.Prefix, err = io.ReadAll(io.LimitReader(httpResp.Body, MaxBufferedBody+1))
-			if err == nil && len(resp.Prefix) <= MaxBufferedBody {
-				err = io.EOF
+			if more, err := r.awaitMore(until); !more || err != nil {
+				return err
 			}
 		}
-		if resp.Complete = errors.Is(err, io.EOF); resp.Complete || err == nil {
-			return resp, nil
+		r.Prefix = slices.Grow(r.Prefix, 1)
+		n, err := r.Body.Read(r.Prefix[len(r.Prefix):min(cap(r.Prefix), MaxBufferedBody+1)])
+		r.Prefix = r.Prefix[:len(r.Prefix)+n]
+		if r.Complete = errors.Is(err, io.EOF); r.Complete {
+			return nil
+		}
+		if err != nil {
+			return err
 		}
-		return nil, err
 	}
-	return nil, ErrMalformedResponse
+	return nil
+}
+
+// awaitMore waits until the body can be read further without blocking, and reports whether that is
+// so before the given time. The body itself can't be read with a time limit, as a decoder of chunks
+// does not recover from an error.
+func (r *Response) awaitMore(until time.Time) (more bool, err error) {
+	if !time.Now().Before(until) {
+		return false, nil
+	}
+	buffered := r.reader.buf.Buffered()
+	if pending, _ := r.reader.buf.Peek(buffered); buffered > 0 && r.isReadable(pending) {
+		return true, nil
+	}
+	defer r.reader.clearDeadline()
+	r.reader.setDeadline(until)
+	_, err = r.reader.buf.Peek(buffered + 1)
+	switch {
+	case err == nil || errors.Is(err, io.EOF):
+		return true, nil // the next read of the body returns the end again
+	case errors.Is(err, os.ErrDeadlineExceeded) && !r.reader.stopped.Load():
+		return false, nil
+	}
+	return false, err
+}
+
+// isReadable reports whether bytes that the decoder of the body left unread suffice for a further
+// read. In chunks it leaves them only in front of data: the line with the next chunk's length.
+func (r *Response) isReadable(pending []byte) bool {
+	if len(r.TransferEncoding) == 0 {
+		return true
+	}
+	pending = bytes.TrimPrefix(pending, []byte("\r\n")) // the end of the chunk before
+	return bytes.IndexByte(pending, '\n') >= 0
 }
 
-// Read reads the body after Prefix. A stalled read fails after streamPieceTimeout.
+// Read reads the body after Prefix. A stalled read fails after streamReadTimeout.
 func (r *Response) Read(b []byte) (int, error) {
 	r.reader.limit.N, r.reader.timeout = math.MaxInt64, streamReadTimeout
 	n, err := r.Body.Read(b)
