Fix: one total for all buffers of a process, from memory_mb

Operators saw processes over memory_mb that were killed while hundreds of clients wrote slowly. Cause: only what was buffered beyond 64 KiB of a body had a budget; the first 64 KiB, answers up to 64 KiB, copies for the write and forwarding buffers followed the number of clients. A body's buffer was also taken at its full length before a byte had come. Class: limits for each, and none for the sum. Change: guard.PlanMemory divides memory_mb (pure), internal/membudget adds up what is held by owner. A body takes memory as it comes; without any it waits up to 0.5 s, at most half of the client's time, and gets 503. An answer without memory is passed on while it is read. A body whose connection was closed while it was read returned its budget never; now it does. Metrics app.memory.*, and the sum in the log line on memory.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ivylock/balance"
+	"ivylock/guard"
 	"ivylock/internal/bounded"
 	"ivylock/internal/loadreport"
 	"ivylock/internal/neterr"
@@ -18,6 +19,8 @@
 const (
 	probeTimeout       = 400 * time.Millisecond // from an established connection to the response
 	serverStallTimeout = 5 * time.Second        // for a server that takes nothing of a streamed body
+	maxSerializedBody  = bounded.MaxBufferedBody
+	headSize           = 1 << 10 // bytes, of most requests to servers
 )
 
 // Result is the outcome of an exchange with a server.
@@ -114,7 +117,7 @@
 		return Result{Code: balance.Moot}
 	}
 	stopWatching := context.AfterFunc(ctx, c.reader.Stop)
-	result, reuse := c.roundTrip(call, serialized)
+	result, reuse := p.roundTrip(c, call, serialized)
 	if !stopWatching() {
 		reuse = false
 	}
@@ -141,8 +144,8 @@
 
 // roundTrip writes the request, with a single write if its body is buffered, and reads
 // the response.
-func (c *conn) roundTrip(call Call, serialized []byte) (result Result, reuse bool) {
-	if err := c.write(call, serialized); err != nil {
+func (p *Pool) roundTrip(c *conn, call Call, serialized []byte) (result Result, reuse bool) {
+	if err := p.write(c, call, serialized); err != nil {
 		if body, streamed := call.Request.Body.(*streamedBody); streamed && body.failed {
 			return Result{Code: balance.Moot, Err: err}, false // the client's body failed: not a server failure
 		}
@@ -151,7 +154,8 @@
 	if call.OnWritten != nil {
 		call.OnWritten()
 	}
-	response, err := c.readResponse(call)
+	response, release, err := p.readResponse(c, call)
+	defer release()
 	if errors.Is(err, bounded.ErrMalformedResponse) {
 		return Result{Code: balance.ServerError, Err: err}, false // not Reset: the server responds
 	}
@@ -184,19 +188,27 @@
 	return result, (response.Complete || result.Code == balance.OK) && !response.Close && c.reader.BufferEmpty()
 }
 
-// readResponse reads the response to a call, of a long body only a first part.
-func (c *conn) readResponse(call Call) (*bounded.Response, error) {
-	response, err := c.reader.ReadHead(call.Request)
-	if err != nil {
-		return nil, err
+// readResponse reads the response to a call, of a long body only a first part, and likewise if there is
+// no memory for a shorter one that can be streamed. release returns the memory that it holds.
+func (p *Pool) readResponse(c *conn, call Call) (response *bounded.Response, release func(), err error) {
+	release = func() {}
+	if response, err = c.reader.ReadHead(call.Request); err != nil {
+		return nil, release, err
 	}
-	if call.OnLongBody != nil && response.StatusCode == http.StatusOK && response.MayBeLong() {
-		call.OnLongBody()
+	mayStream := call.OnStream != nil && response.StatusCode == http.StatusOK
+	size := response.BufferSize()
+	switch {
+	case mayStream && !p.Memory.Reserve(guard.Responses, size):
+		response.LimitBuffer()
+		size = 0
+	case !mayStream:
+		p.Memory.Hold(guard.Responses, size)
 	}
-	if err := response.Buffer(); err != nil {
-		return nil, err
+	release = func() { p.Memory.Release(guard.Responses, size) }
+	if call.OnLongBody != nil && mayStream && response.MayBeLong() {
+		call.OnLongBody()
 	}
-	return response, nil
+	return response, release, response.Buffer()
 }
 
 // bufferedBody is a request body that is completely in memory.
@@ -218,21 +230,29 @@
 
 func (*streamedBody) Close() error { return nil }
 
-// serialize returns the bytes of a request whose body is buffered; nil for a streamed one.
+// serialize returns the bytes of a request whose body is buffered; nil for a streamed one, and for a long
+// one that would take its memory twice.
 // It runs before MayWrite is called. Guards against a process pause between that check and
 // the write, after which the request might be written long after its deadline.
 func serialize(req *http.Request) ([]byte, error) {
-	if _, buffered := req.Body.(bufferedBody); !buffered && req.Body != nil && req.Body != http.NoBody {
+	body, buffered := req.Body.(bufferedBody)
+	if !buffered && req.Body != nil && req.Body != http.NoBody {
 		return nil, nil
 	}
 	var out bytes.Buffer
+	if buffered {
+		if body.Len() > maxSerializedBody {
+			return nil, nil
+		}
+		out.Grow(body.Len() + headSize)
+	}
 	err := req.Write(&out)
 	return out.Bytes(), err
 }
 
 // write sends a request. A buffered one is sent with a single write, so that an error
 // proves that it was incomplete; of a streamed one the last byte is written last.
-func (c *conn) write(call Call, serialized []byte) error {
+func (p *Pool) write(c *conn, call Call, serialized []byte) error {
 	if serialized == nil {
 		stallTimeout := serverStallTimeout
 		if call.StallTimeout > 0 {
@@ -242,6 +262,8 @@
 		c.SetWriteDeadline(time.Time{})
 		return err
 	}
+	p.Memory.Hold(guard.RequestBodies, int64(len(serialized)))
+	defer p.Memory.Release(guard.RequestBodies, int64(len(serialized)))
 	if n, err := c.Write(serialized); err != nil && n < len(serialized) {
 		return err
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -12,6 +12,7 @@
 	"ivylock/balance"
 	"ivylock/guard"
 	"ivylock/internal/bounded"
+	"ivylock/internal/membudget"
 )
 
 const idleMargin = time.Second // idle connections are closed this long before the server may close them
@@ -67,6 +68,8 @@
 	// OnDialError, if not nil, is called for each failed dial. It is set before the
 	// first exchange and must not block.
 	OnDialError func(error)
+	// Memory is for responses that are buffered; nil: no limit. It is set before the first exchange.
+	Memory *membudget.Budget
 
 	dial                        dialFunc
 	connectTimeout, idleTimeout time.Duration
--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -115,6 +115,7 @@
 	FirstByteAt time.Time // when the first byte of the response arrived
 	BodyLength  int64     // of the whole body; -1 if unknown before its end
 	reader      *Reader
+	maxBuffered int // bytes of a body that is buffered completely
 }
 
 // ReadResponse reads the head of a response and buffers its body.
@@ -186,13 +187,27 @@
 		if httpResp.ContentLength > MaxBodyLength {
 			return nil, ErrMalformedResponse
 		}
-		return &Response{Response: httpResp, BodyLength: httpResp.ContentLength, reader: r}, nil
+		return &Response{Response: httpResp, BodyLength: httpResp.ContentLength, reader: r, maxBuffered: MaxBufferedBody}, nil
 	}
 	return nil, ErrMalformedResponse
 }
 
 // MayBeLong reports whether the body may be too long to be buffered.
-func (r *Response) MayBeLong() bool { return r.BodyLength < 0 || r.BodyLength > MaxBufferedBody }
+func (r *Response) MayBeLong() bool { return r.BodyLength < 0 || r.BodyLength > int64(r.maxBuffered) }
+
+// BufferSize returns how many bytes Buffer may take.
+func (r *Response) BufferSize() int64 {
+	if r.BodyLength > int64(r.maxBuffered) {
+		return minPrefix
+	}
+	if r.BodyLength >= 0 {
+		return r.BodyLength
+	}
+	return int64(r.maxBuffered)
+}
+
+// LimitBuffer makes Buffer take no more than a small first part of the body.
+func (r *Response) LimitBuffer() { r.maxBuffered = minPrefix }
 
 // Buffer reads a body of up to MaxBufferedBody completely, of a longer one only a prefix, and of one
 // of unknown length what comes within forwardDelay of its first byte. It waits as long as the server
@@ -200,7 +215,7 @@
 // connection is closed and not reset.
 func (r *Response) Buffer() (err error) {
 	switch {
-	case r.BodyLength > MaxBufferedBody:
+	case r.BodyLength > int64(r.maxBuffered):
 		err = r.bufferStart()
 	case r.BodyLength >= 0:
 		err = r.bufferAll()
@@ -242,7 +257,7 @@
 func (r *Response) collect() error {
 	r.Prefix = make([]byte, 0, minPrefix)
 	var until time.Time
-	for len(r.Prefix) <= MaxBufferedBody {
+	for len(r.Prefix) <= r.maxBuffered {
 		if len(r.Prefix) > 0 {
 			if until.IsZero() {
 				until = time.Now().Add(forwardDelay)
@@ -252,7 +267,7 @@
 			}
 		}
 		r.Prefix = slices.Grow(r.Prefix, 1)
-		n, err := r.Body.Read(r.Prefix[len(r.Prefix):min(cap(r.Prefix), MaxBufferedBody+1)])
+		n, err := r.Body.Read(r.Prefix[len(r.Prefix):min(cap(r.Prefix), r.maxBuffered+1)])
 		r.Prefix = r.Prefix[:len(r.Prefix)+n]
 		if r.Complete = errors.Is(err, io.EOF); r.Complete {
 			return nil
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -96,6 +96,9 @@
 
 	ResidentKB, HeapKB, StackKB atomic.Int64 // memory of the process in KiB: resident, of it Go's heap and stacks
 	GCPermille                  atomic.Int64 // thousandths of the processor time in garbage collection, lately
+	MemoryLimitKB               atomic.Int64 // for all buffers, in KiB
+	MemoryHeldKB                [guard.NumMemoryOwners]atomic.Int64
+	MemoryRefused               [guard.NumMemoryOwners]atomic.Int64 // reservations for which there was too little memory
 
 	fleet atomic.Pointer[[]NamedMetric]
 }
@@ -245,6 +248,7 @@
 		{"process.resident_kb", &s.ResidentKB}, {"process.heap_kb", &s.HeapKB}, {"process.stack_kb", &s.StackKB}, {"process.gc_permille", &s.GCPermille}} {
 		fmt.Fprintf(&b, "app.%s:%d|g\n", g.name, g.value.Load())
 	}
+	s.writeMemory(&b)
 	if fleetMetrics := s.fleet.Load(); fleetMetrics != nil {
 		for _, m := range *fleetMetrics {
 			fmt.Fprintf(&b, "app.fleet.%s:%d|%s\n", m.Name, m.Value, m.Kind)
@@ -253,6 +257,15 @@
 	return b.Bytes()
 }
 
+// writeMemory formats the metrics of the memory for buffers.
+func (s *Set) writeMemory(b *bytes.Buffer) {
+	fmt.Fprintf(b, "app.memory.limit_kb:%d|g\n", s.MemoryLimitKB.Load())
+	for owner := range guard.NumMemoryOwners {
+		fmt.Fprintf(b, "app.memory.held_kb.%v:%d|g\n", owner, s.MemoryHeldKB[owner].Load())
+		fmt.Fprintf(b, "app.memory.refused.%v:%d|c\n", owner, s.MemoryRefused[owner].Load())
+	}
+}
+
 // NamedMetric is a metric of an optional subsystem. Kind is "c" for a counter and "g" for a
 // gauge.
 type NamedMetric struct {
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -156,6 +156,15 @@
 app.process.heap_kb:0|g
 app.process.stack_kb:0|g
 app.process.gc_permille:0|g
+app.memory.limit_kb:0|g
+app.memory.held_kb.request_bodies:0|g
+app.memory.refused.request_bodies:0|c
+app.memory.held_kb.read_ahead:0|g
+app.memory.refused.read_ahead:0|c
+app.memory.held_kb.pipelined:0|g
+app.memory.refused.pipelined:0|c
+app.memory.held_kb.responses:0|g
+app.memory.refused.responses:0|c
 `
 	if got := string(f.Text()); got != want {
 		t.Errorf("got\n%s", got)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,9 +28,10 @@
 
 	// minIdleAtShutdown is how long a connection must have been idle before a shutdown closes
 	// it: its next request may be in net/http's buffer.
-	minIdleAtShutdown = 50 * time.Millisecond
-	minNewConnAge     = 50 * time.Millisecond // before eviction, so that the first request can arrive
-	streamBufferSize  = 32 << 10              // bytes
+	minIdleAtShutdown   = 50 * time.Millisecond
+	minNewConnAge       = 50 * time.Millisecond // before eviction, so that the first request can arrive
+	streamBufferSize    = 32 << 10              // bytes
+	minStreamBufferSize = 4 << 10               // bytes, if there is little memory
 	// clientStallTimeout is for a client that takes nothing of a streamed response. A slow reader
 	// with a large receive buffer takes the next part only when much of that is free again.
 	clientStallTimeout = 15 * time.Second
@@ -61,11 +62,11 @@
 	drainDone    chan struct{} // closed when Drain returns
 }
 
-// New returns a front end for a node. It serves at most maxConns client connections and
-// buffers at most bodyBudget bytes for long request bodies in total.
+// New returns a front end for a node. It serves at most maxConns client connections, buffers at most
+// bodyBudget bytes for long request bodies in total, and takes all buffers from the node's memory.
 func New(n *node.Node, listener net.Listener, classes []balance.Class, maxConns int, bodyBudget int64) *HTTP {
 	f := &HTTP{
-		node: n, classes: map[string]balance.Class{}, bodies: newBodyReader(bodyBudget),
+		node: n, classes: map[string]balance.Class{}, bodies: newBodyReader(bodyBudget, n.Memory()),
 		clients:    newClientConns(listener, maxConns, n.Metrics(), n.History(), n.Checker()),
 		acceptDone: make(chan struct{}), drainDone: make(chan struct{}),
 	}
@@ -224,7 +225,7 @@
 	f.node.Metrics().CountRequest(req.Class, figures.OutcomeOf(response.Status))
 	w.Header().Set("Content-Length", strconv.Itoa(len(response.Body)))
 	w.WriteHeader(response.Status)
-	w.Write(response.Body)
+	f.writeBody(w, response.Body)
 	if rest == nil {
 		f.node.Checker().CheckAnswer(string(req.ID), time.Now(), req.Deadline)
 	}
@@ -235,6 +236,13 @@
 	}
 }
 
+// writeBody writes the body of a response.
+func (f *HTTP) writeBody(w http.ResponseWriter, body []byte) {
+	f.node.Memory().Hold(guard.Responses, int64(len(body)))
+	defer f.node.Memory().Release(guard.Responses, int64(len(body)))
+	w.Write(body)
+}
+
 // abortFunc returns a function that ends a truncated response so that the client sees that. It
 // does not return.
 func abortFunc(r *http.Request, conn *clientConn, response node.Response) func() {
@@ -261,6 +269,17 @@
 	return f.node.Metrics().RequestsRejected.Label(int(response.Reason))
 }
 
+// newStreamBuffer returns a buffer for forwarding a response, a small one if there is little memory.
+// release returns its memory.
+func (f *HTTP) newStreamBuffer() (buffer []byte, release func()) {
+	memory, size := f.node.Memory(), int64(streamBufferSize)
+	if !memory.Reserve(guard.Responses, size) {
+		size = minStreamBufferSize
+		memory.Hold(guard.Responses, size)
+	}
+	return make([]byte, size), func() { memory.Release(guard.Responses, size) }
+}
+
 // forwardStream forwards a response as it arrives. It reads from the server no faster than
 // the client reads. If the server fails, abort, which does not return, closes the client's
 // connection so that the client sees that the response is truncated.
@@ -270,7 +289,9 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(response.BodyStream.Length, 10))
 	}
 	w.WriteHeader(response.Status)
-	chunk, buffer := response.Body, make([]byte, streamBufferSize)
+	buffer, release := f.newStreamBuffer()
+	defer release()
+	chunk := response.Body
 	for {
 		_, err := w.Write(chunk)
 		if err == nil {
--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -103,7 +103,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.reserved > 0 {
-		a.budget.budget.Add(a.reserved)
+		a.budget.release(a.reserved)
 	}
 	a.stopped, a.reserved, a.pieces, a.space = true, 0, nil, nil
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -50,7 +50,7 @@
 // receivedRequest is a request with the part of its body that has been read.
 type receivedRequest struct {
 	*node.Request
-	body receivedBody
+	body *receivedBody
 }
 
 // readRequest reads a client's request and checks it against the protocol.
@@ -64,11 +64,12 @@
 		return nil, err
 	}
 	conn.beginBody()
-	body, err := f.bodies.read(w, r)
+	body, err := f.bodies.read(w, r, timeout)
 	if !conn.endBody() && err == nil {
 		err = net.ErrClosed
 	}
 	if err != nil {
+		body.release()
 		return nil, fmt.Errorf("body: %w", err)
 	}
 	// The timeout counts from the request's last byte, even if a process pause delayed
@@ -90,7 +91,7 @@
 		rest.timeout, rest.latest = timeout, deadline.Add(rest.maxDuration())
 		req.BodyStream, req.Deadline, req.ClientSeenAt = rest, rest.latest, rest.awaitClientSeen
 	}
-	return &receivedRequest{req, body}, nil
+	return &receivedRequest{req, &body}, nil
 }
 
 // checkHead checks a request's head against the protocol and returns its class.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -26,8 +26,9 @@
 	controller *http.ResponseController
 	conn       *clientConn // nil: unknown
 	body       io.Reader
-	length     int64 // -1 if unknown before the end
-	startedAt  time.Time
+	length     int64         // -1 if unknown before the end
+	startedAt  time.Time     // later by memoryWait
+	memoryWait time.Duration // how long reading waited for memory
 	timeout    time.Duration
 	latest     time.Time // no deadline is later
 	onComplete func()    // called when the last byte has been read
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -99,15 +99,15 @@
 	defer conn.Close()
 	switch shape {
 	case SlowUploads:
-		c.upload(conn, uploadLength)
+		c.upload(ctx, conn, uploadLength)
 	case StoppedUploads:
-		c.upload(conn, stoppedLength)
+		c.upload(ctx, conn, stoppedLength)
 	case ManyFields:
 		c.sendManyFields(ctx, conn)
 	case SlowReaders:
 		c.readSlowly(ctx, conn)
 	case Pipeliners:
-		c.pipeline(conn)
+		c.pipeline(ctx, conn)
 	}
 }
 
@@ -123,11 +123,11 @@
 }
 
 // upload writes the first bytes of a body at once and further ones slowly, and waits for the answer.
-func (c *Crowd) upload(conn net.Conn, written int) {
+func (c *Crowd) upload(ctx context.Context, conn net.Conn, written int) {
 	fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", c.head(http.MethodPost, c.Target.Unsafe, ""), uploadLength)
 	body := make([]byte, written)
 	answered := make(chan bool, 1)
-	go func() { answered <- c.readAnswer(bufio.NewReaderSize(conn, 1024)) }()
+	go func() { answered <- c.readAnswer(ctx, bufio.NewReaderSize(conn, 1024)) }()
 	burst := firstBurst
 	if written < uploadLength {
 		burst = written
@@ -148,7 +148,7 @@
 }
 
 // readAnswer reads one answer and counts it. It reports whether the connection can be used further.
-func (c *Crowd) readAnswer(r *bufio.Reader) bool {
+func (c *Crowd) readAnswer(ctx context.Context, r *bufio.Reader) bool {
 	resp, err := http.ReadResponse(r, nil)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
@@ -156,7 +156,9 @@
 	}
 	switch {
 	case err != nil:
-		c.Cuts.Add(1)
+		if ctx.Err() == nil {
+			c.Cuts.Add(1)
+		}
 		return false
 	case resp.StatusCode == http.StatusOK:
 		c.Answers.Add(1)
@@ -175,7 +177,7 @@
 		if _, err := io.WriteString(conn, c.head(http.MethodGet, c.Target.Safe, "")+fields+"\r\n"); err != nil {
 			return
 		}
-		if !c.readAnswer(r) {
+		if !c.readAnswer(ctx, r) {
 			return
 		}
 		select {
@@ -201,7 +203,7 @@
 }
 
 // pipeline sends further requests behind an open one and reads all answers.
-func (c *Crowd) pipeline(conn net.Conn) {
+func (c *Crowd) pipeline(ctx context.Context, conn net.Conn) {
 	var text strings.Builder
 	padding := "&padding=" + strings.Repeat("x", paddingLength)
 	for range 1 + pipelinedCount {
@@ -211,6 +213,6 @@
 	if _, err := io.WriteString(conn, text.String()); err != nil {
 		return
 	}
-	for r := bufio.NewReaderSize(conn, 1024); c.readAnswer(r); {
+	for r := bufio.NewReaderSize(conn, 1024); c.readAnswer(ctx, r); {
 	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"ivylock/balance"
+	"ivylock/guard"
 	"ivylock/internal/console"
 	"ivylock/internal/discovery"
 	"ivylock/internal/settings"
@@ -203,8 +204,13 @@
 
 // ClientSockets returns the number of descriptors for connections of clients. It exceeds
 // BackendSockets because every request at a backend occupies a client connection too, and
-// clients also keep idle connections.
-func (c *Config) ClientSockets() int { return c.Sockets - c.reserved() - c.BackendSockets() }
+// clients also keep idle connections. It is lower where there is no memory for so many.
+func (c *Config) ClientSockets() int { return c.memoryPlan().Connections }
+
+// memoryPlan divides the memory limit among the clients that the descriptors allow.
+func (c *Config) memoryPlan() guard.MemoryPlan {
+	return guard.PlanMemory(int64(c.MemoryMB)<<20, c.Sockets-c.reserved()-c.BackendSockets())
+}
 
 // BodyBudget returns the total number of bytes that long request bodies may occupy beyond
 // the per-request buffer.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"ivylock/internal/eventlog"
 	"ivylock/internal/figures"
 	"ivylock/internal/invariant"
+	"ivylock/internal/membudget"
 	"ivylock/internal/neterr"
 	"ivylock/internal/wallclock"
 	"ivylock/maintenance"
@@ -69,6 +70,7 @@
 	outcome        balance.AttemptEnded  // reused between calls to avoid allocation
 	fleet          *fleet                // nil: disabled
 	lifecycle      lifecycle
+	memory         *membudget.Budget // for all buffers
 
 	lastQueryAt time.Time         // time of the latest query to peers
 	lastReplyAt map[int]time.Time // time of the latest reply to each peer
@@ -109,9 +111,10 @@
 		start: start, origin: origin, events: make(chan any, eventQueueSize), done: make(chan struct{}),
 		requests: map[balance.RequestID]*Request{}, servers: map[balance.ServerID]*backend.Server{},
 		discoveryNodes: float64(cfg.Settings.Nodes), listReceived: make(chan struct{}), commands: make(chan command), list: membership.NewList[discovery.Entry](), maintenance: maintenance.New(nil), metrics: figures.New(classNames(cfg.Settings)), history: eventlog.New(), retryRules: map[string]guard.RetryRules{},
-		lastReplyAt: map[int]time.Time{},
-		serverIDs:   map[string]balance.ServerID{},
-		pool:        backend.NewPool(cfg.BackendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdleTimeout)}
+		lastReplyAt: map[int]time.Time{}, memory: membudget.New(cfg.memoryPlan().Buffers),
+		serverIDs: map[string]balance.ServerID{},
+		pool:      backend.NewPool(cfg.BackendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdleTimeout)}
+	n.pool.Memory = n.memory
 	n.pool.OnDialError = func(err error) { n.metrics.DialErrors.Add(neterr.Index(err)) }
 	n.fleet = newFleet(cfg, n.now())
 	n.checker = invariant.New(n.metrics.InvariantViolations.Add, n.history)
@@ -124,6 +127,9 @@
 	return n
 }
 
+// Memory returns the memory for all buffers of requests and responses.
+func (n *Node) Memory() *membudget.Budget { return n.memory }
+
 // Done returns a channel that is closed when the event loop has ended.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
--- a/internal/node/resources.go
+++ b/internal/node/resources.go
@@ -5,6 +5,7 @@
 	"log"
 	"time"
 
+	"ivylock/guard"
 	"ivylock/internal/procstat"
 )
 
@@ -28,8 +29,8 @@
 		switch used := float64(sample.ResidentBytes); {
 		case !warned && used > memoryWarning*limit:
 			warned = true
-			log.Printf("memory: %d of %d MB in use, %d MB heap, %d MB stacks, %d goroutines, %.0f%% of the time in garbage collection; %d open requests",
-				sample.ResidentBytes>>20, n.cfg.MemoryMB, sample.HeapBytes>>20, sample.StackBytes>>20, sample.Goroutines, 100*sample.GCFraction, n.metrics.OpenRequests.Load())
+			log.Printf("memory: %d of %d MB in use, %d MB heap, %d MB stacks, %d goroutines, %.0f%% of the time in garbage collection; %d open requests; %s",
+				sample.ResidentBytes>>20, n.cfg.MemoryMB, sample.HeapBytes>>20, sample.StackBytes>>20, sample.Goroutines, 100*sample.GCFraction, n.metrics.OpenRequests.Load(), n.memory)
 		case warned && used < memoryAllClear*limit:
 			warned = false
 			log.Printf("memory: %d of %d MB in use again", sample.ResidentBytes>>20, n.cfg.MemoryMB)
@@ -48,4 +49,9 @@
 	n.metrics.HeapKB.Store(s.HeapBytes >> 10)
 	n.metrics.StackKB.Store(s.StackBytes >> 10)
 	n.metrics.GCPermille.Store(int64(1000 * s.GCFraction))
+	n.metrics.MemoryLimitKB.Store(n.memory.Limit() >> 10)
+	for owner := range guard.NumMemoryOwners {
+		n.metrics.MemoryHeldKB[owner].Store(n.memory.HeldBy(owner) >> 10)
+		n.metrics.MemoryRefused[owner].Store(n.memory.Refused(owner))
+	}
 }
