Fix: requests with more than 100 header fields get 431 before they are parsed

Operators saw a process over its memory limit, and others' answers late, while hundreds of clients sent heads of very many short fields. Cause: net/http makes a map entry, a slice and two strings of each field, so 6 kB of head become some 150 kB, and parsing and collecting them takes the core. Class: a limit on bytes where the cost follows the number of elements. Related paths: trailers and chunk extensions are bounded by net/http (4 KiB each), answers of servers by the limit of 1 MB for all that precedes the body.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -84,9 +84,8 @@
 		if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
 			c.readAhead = nil
 		}
-		c.record(b[:n])
-		c.mu.Unlock()
-		return n, nil
+		defer c.mu.Unlock()
+		return c.deliver(b[:n], nil)
 	}
 	c.mu.Unlock()
 	n, err := c.TCPConn.Read(b)
@@ -99,8 +98,7 @@
 		if n == 0 && isTimeout(err) && c.phase != phaseOpen {
 			n, err = c.readLate(b, err)
 		}
-		c.record(b[:n])
-		return n, err
+		return c.deliver(b[:n], err)
 	}
 	for chunk := b[:n]; ; chunk = chunk[:n] {
 		if space := maxReadAhead - len(c.readAhead); len(chunk) > space {
@@ -144,6 +142,17 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// deliver records bytes that were read and returns the result of Read: an error if the head that they
+// belong to is rejected. The caller holds the lock.
+func (c *clientConn) deliver(b []byte, err error) (int, error) {
+	c.record(b)
+	if c.headTooLong() {
+		c.rejectLongHead()
+		return 0, net.ErrClosed
+	}
+	return len(b), err
+}
+
 // record keeps the bytes delivered to net/http, which hides how a body was framed: it drops
 // a Content-Length beside a Transfer-Encoding.
 func (c *clientConn) record(b []byte) {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -96,6 +96,9 @@
 
 // checkHead checks a request's head against the protocol and returns its class.
 func (f *HTTP) checkHead(w http.ResponseWriter, r *http.Request) (class balance.Class, err error) {
+	if countFields(r.Header) > maxHeaderFields {
+		return class, errTooManyFields
+	}
 	for _, name := range []string{"Request-Id", "Request-Class", "Request-Timeout-Ms", "Idempotency-Key"} {
 		if len(r.Header.Values(name)) > 1 {
 			return class, badRequestf("%s stands there twice", name)
--- a/internal/lab/crowd/crowd_test.go
+++ b/internal/lab/crowd/crowd_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	_ "ivylock/internal/front" // a change of the node has the tests run again
 	"ivylock/internal/nodetest"
 )
 
