Fix: requests with less time than an answer takes count against no server

Class: evidence on a server that a client can make. Change: an attempt whose client has less than half of the lowest expected latency left is marked at its start, adds nothing to the silence of its server, and its time-out is no failure. All other attempts count as before. Result: TestRequestsWithoutTimeEjectNoServer: before, 6 of 6 servers were ejected; passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,7 @@
 	ejectionThreshold     = 3                      // failures in a row, or unanswered sends: not chance
 	maxRunProbability     = 1e-4                   // a run of failures less probable than this by chance is none
 	silenceFactor         = 4.0                    // multiple of the expected latency until silence counts
+	hopelessFraction      = 0.5                    // of the expected latency: no answer is expected in less time
 	minTrialBackoff       = 500 * time.Millisecond // doubles with each trial
 	maxTrialBackoff       = 4 * time.Second        // well under what disturbances last
 	retryRatio            = 0.1                    // retries per arrival: prevents a retry storm of this node
@@ -424,6 +425,7 @@
 	}
 	att := req.newAttempt()
 	att.server, att.sentAt, att.mayHaveRun, att.waitAtSend = srv, m.now, true, m.expectedWait(srv)
+	att.hopeless = m.isHopeless(req, srv)
 	req.outstanding++
 	if srv.tokens--; !m.largeFleet { // charges expensive classes for their cost
 		srv.tokens -= req.class.relativeCost - 1
@@ -595,7 +597,9 @@
 	m.applyReport(att.server, event.Report)
 	m.learnServiceTime(att, req.class, event)
 	if !att.streaming || event.Code != OK {
-		m.recordOutcome(att.server, req, event)
+		if !att.hopeless || event.Code != TimedOut {
+			m.recordOutcome(att.server, req, event)
+		}
 	}
 	switch {
 	case req.done && req.outstanding == 0:
--- a/balance/behaviour_test.go
+++ b/balance/behaviour_test.go
@@ -256,6 +256,29 @@
 	}
 }
 
+// Guards against a client whose requests have less time than an answer takes: servers must not be ejected
+// for them, and others' requests are served.
+func TestRequestsWithoutTimeEjectNoServer(t *testing.T) {
+	node := newHarness(t, testSettings(), 6)
+	node.delay = func(balance.ServerID) (time.Duration, balance.OutcomeCode) { return 20 * time.Millisecond, balance.OK }
+	node.run(3*time.Second, 20, "cheap")
+	logged, usual := node.logLines, node.clientTimeout
+	node.clientTimeout = time.Millisecond
+	node.delay = func(balance.ServerID) (time.Duration, balance.OutcomeCode) { return time.Millisecond, balance.TimedOut }
+	node.run(3*time.Second, 500, "cheap")
+	if node.logLines > logged {
+		t.Errorf("%d servers were ejected", node.logLines-logged)
+	}
+	node.clientTimeout = usual
+	node.delay = func(balance.ServerID) (time.Duration, balance.OutcomeCode) { return 20 * time.Millisecond, balance.OK }
+	node.run(100*time.Millisecond, 20, "cheap") // the last of the others end
+	refused := node.refused
+	node.run(time.Second, 20, "cheap")
+	if node.refused > refused {
+		t.Errorf("%d ordinary requests were refused", node.refused-refused)
+	}
+}
+
 // When all servers slow down at once, none may be ejected and each must keep as many
 // requests in flight as before.
 func TestNoEjectionWhenAllServersSlowDown(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -90,6 +90,7 @@
 	ended, mayHaveRun, cancelled bool // mayHaveRun: running, or ended without proof that it never ran
 	counted                      bool // among the server's attempts in flight
 	streaming                    bool // the answer is being streamed
+	hopeless                     bool // the client's time was too short for an answer: no evidence on the server
 }
 
 type request struct {
@@ -463,12 +464,22 @@
 		att.counted, att.sentAt = true, m.now
 		srv.inFlight++
 		srv.sentSinceReading++
+		if att.hopeless {
+			return
+		}
 		if srv.unanswered++; srv.unanswered == 1 {
 			srv.silentSince = m.now
 		}
 	}
 }
 
+// isHopeless reports whether the client's time is far shorter than a server's answer takes. That
+// such an attempt gets no answer says nothing about the server.
+func (m *Module) isHopeless(req *request, srv *server) bool {
+	expected := math.Min(m.meanLatency, m.latencyOf(srv)) * math.Min(1, req.class.relativeCost)
+	return (req.deadline - m.now).Seconds() < hopelessFraction*expected
+}
+
 func (a *attempt) uncountInFlight() {
 	if a.counted {
 		a.counted = false
