Fix: the history of events keeps 96 bytes of an id, not as much as clients send

Class: a limit on the number of elements, and none on their size. Related paths: lines of the log quote at most 64 bytes of an id; open requests hold their head, which counts as memory of the connection. Change: ids and reasons are truncated when they are added and when they are looked for.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -14,6 +14,18 @@
 // Capacity is the number of events that a Log keeps, about 0.4 MB.
 const Capacity = 4096
 
+// maxText is how many bytes an event keeps of a request's id or of a reason.
+const maxText = 96
+
+// truncate returns the first maxText bytes of a text. A longer text is copied, as a part of it would keep
+// all of it in memory.
+func truncate(text string) string {
+	if len(text) <= maxText {
+		return text
+	}
+	return strings.Clone(text[:maxText])
+}
+
 // Kind is the type of an event.
 type Kind uint8
 
@@ -99,6 +111,7 @@
 	if e.At.IsZero() {
 		e.At = time.Now()
 	}
+	e.Request, e.Reason = truncate(e.Request), truncate(e.Reason)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.events[l.total%Capacity] = e
@@ -111,6 +124,7 @@
 	if l == nil {
 		return nil
 	}
+	request = truncate(request)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Event
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// Guards against a log that holds as much as clients write into their ids.
+func TestLongTextsAreTruncated(t *testing.T) {
+	l := New()
+	long := strings.Repeat("x", 7000)
+	l.Add(Event{Kind: RequestRead, Request: long, Reason: long})
+	events := l.Events(long)
+	if len(events) != 1 || len(events[0].Request) != maxText || len(events[0].Reason) != maxText {
+		t.Errorf("got %d events", len(events))
+	}
+}
+
 func TestNilLogKeepsNothing(t *testing.T) {
 	var l *Log
 	l.Add(Event{Kind: RequestRead})
--- a/internal/lab/crowd/crowd_test.go
+++ b/internal/lab/crowd/crowd_test.go
@@ -45,6 +45,7 @@
 
 const (
 	servers     = 6
+	workTime    = 5 * time.Millisecond
 	answerSlack = 500 * time.Millisecond // after the client's time, in which an answer is not lost
 )
 
@@ -58,7 +59,7 @@
 	logMu       sync.Mutex
 }
 
-// startServers starts stand-in servers that answer at once, with a body of as many bytes as the query says.
+// startServers starts stand-in servers that answer after workTime, with a body of as many bytes as the query says.
 func startServers(t testing.TB) (addrs []string) {
 	t.Helper()
 	chunk := make([]byte, 16<<10)
@@ -66,6 +67,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
+		time.Sleep(workTime)
 		length, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 		w.Header().Set("Content-Length", strconv.Itoa(length))
 		for length > 0 {
