Fix: pipelined requests that were read are answered before their connection closes

Cause: near the connection limit (three quarters) an answer said 'close' without looking for requests behind it, and at a shutdown only the first request behind an answer was seen: the record of what was delivered was emptied with each answer, though net/http may hold several requests in its buffer. A client that pipelines lost the rest, which the node's machine had taken. Class: what was read is known only to the library's buffer. Change: what has been delivered beyond a request stays on record as the start of the next one; the connection closes near the limit only behind the last request that was read, as at a shutdown.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -48,11 +48,11 @@
 
 	mu            sync.Mutex
 	requests      int       // heads read so far
-	delivered     int64     // bytes returned to net/http since the last request
+	delivered     int64     // bytes returned to net/http since the start of the open or next request
 	lastRead      time.Time // of the last delivered byte
 	receivingBody bool      // the open request's body is incomplete
-	// The first bounded.MaxHeaderBytes bytes delivered since the last request: net/http drops a
-	// Content-Length beside a Transfer-Encoding.
+	// The first bounded.MaxHeaderBytes bytes delivered since the start of the open or next request:
+	// net/http drops a Content-Length beside a Transfer-Encoding.
 	recorded        []byte
 	readAhead       []byte // read beyond the open request and not delivered yet; at most maxReadAhead
 	phase           phase
@@ -174,8 +174,13 @@
 		c.requests++
 		c.responseStarted, c.request, c.streaming = false, "", false
 	case phaseIdle:
-		c.delivered = c.bytesPastRequest()
-		c.recorded = c.recorded[:0]
+		following := c.bytesPastRequest()
+		start := int64(len(c.recorded))
+		if c.delivered == start { // all of it was recorded
+			start -= following
+		}
+		c.recorded = append(c.recorded[:0], c.recorded[start:]...)
+		c.delivered = following
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -214,7 +214,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	bodyUnfinished := rest != nil && !rest.complete()
-	if bodyUnfinished || f.draining.Load() && !conn.hasNextRequest() || f.clients.nearLimit() || conn.isLastRequest() {
+	if bodyUnfinished || conn.isLastRequest() || (f.draining.Load() || f.clients.nearLimit()) && !conn.hasNextRequest() {
 		w.Header().Set("Connection", "close")
 	}
 	if response.BodyStream != nil {
