Fix: a long upload in chunks to a slowly reading server is answered in its time

Cause: in chunks the length is not known; the body counted as complete only when nothing had come for a second and nobody read, and each read for the slow server began that second anew. Evidence: TestUploadToSlowlyReadingServerIsAnsweredInClientTime, 4 MB in chunks: 502 came 2.00 s after the last byte with 1 s for it (1.5 s allowed), in one of three runs of the package, beside its other tests; alone, 20 sizes of 0.5 to 5 MB had passed. Class, as in the incident of late uploads: an event is dated by when the program gets to it. Change: once no more has come between two checks (50 ms), the unread bytes are peeked at, into one small buffer, and the body counts as complete if they end with the last chunk. The old rule stays for bodies with trailers and for sockets that can't be peeked. Result: TestEndOfUnreadDataIsFound; TestUploadToSlowly... and TestUploadToSilent... pass four times under the race detector.

--- a/internal/bounded/peek.go
+++ b/internal/bounded/peek.go
@@ -1,6 +1,7 @@
 package bounded
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"syscall"
@@ -79,3 +80,25 @@
 	}
 	return n, err
 }
+
+// peekPiece is the size of the buffer that unread data is copied to while its end is looked for.
+const peekPiece = 64 << 10
+
+// UnreadEndsWith reports whether the unread data of a connection ends with the given bytes. It neither
+// blocks nor takes memory for the data: all but its end is copied to the same buffer.
+func UnreadEndsWith(c net.Conn, end []byte) bool {
+	unread, _ := Unread(c)
+	if unread < len(end) {
+		return false
+	}
+	tail, scratch := make([]byte, len(end)), make([]byte, min(peekPiece, unread))
+	var buffers [][]byte
+	for left := unread - len(end); left > 0; left -= len(scratch) {
+		buffers = append(buffers, scratch[:min(left, len(scratch))])
+	}
+	n, err := inspect(c, func(fd int) (int, error) {
+		n, _, _, _, err := unix.RecvmsgBuffers(fd, append(buffers, tail), nil, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return n, err
+	})
+	return err == nil && n == unread && bytes.Equal(tail, end)
+}
--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -13,11 +13,16 @@
 	roomDivisor = 4
 )
 
+// lastChunk is the end of a body in chunks without trailers.
+var lastChunk = []byte("\r\n0\r\n\r\n")
+
 // arrival follows how many bytes of a request have come to this machine, read or not.
 type arrival struct {
 	bodyEnd int64 // total that includes all of the body; 0: unknown
 	total   int64
 	grewAt  time.Time // when it was last higher than before, or the body was being read
+	// lookedAt is the total at which the end of the unread bytes was last looked for.
+	lookedAt int64
 }
 
 // newArrival returns the state at the time of the first check.
@@ -58,8 +63,9 @@
 }
 
 // hasArrived reports whether the last byte has come. The bytes that wait in the socket tell
-// that if the length is known. Otherwise the body counts as complete if the client could send,
-// and has not for as long as it may pause or for all of its time, and nobody waits for it.
+// that if the length is known. Otherwise the body counts as complete if they end with the last chunk
+// and no more has come since the check before; or if the client could send, and has not for as long as
+// it may pause or for all of its time, and nobody waits for it.
 func (s *streamedBody) hasArrived(last *arrival, now time.Time) bool {
 	idle := s.reading.TryLock()
 	if idle {
@@ -74,6 +80,7 @@
 	delivered := s.conn.deliveredBytes() // first: no byte may count twice
 	unread, buffer := bounded.Unread(s.conn.TCPConn)
 	total := delivered + int64(max(unread, 0))
+	resting := total <= last.total
 	if total > last.total || !idle {
 		last.total, last.grewAt = max(total, last.total), now
 	}
@@ -81,6 +88,12 @@
 	case s.length >= 0 && total >= last.bodyEnd:
 		s.setArrived(now)
 		return true
+	case s.length < 0 && resting && unread > 0 && last.lookedAt != total:
+		last.lookedAt = total
+		if bounded.UnreadEndsWith(s.conn.TCPConn, lastChunk) {
+			s.setArrived(now)
+			return true
+		}
 	case s.length < 0 && unread >= 0 && unread < buffer/roomDivisor && now.Sub(last.grewAt) >= min(bodyReadTimeout, s.timeout):
 		s.setArrived(last.grewAt)
 		return true
