Fix: reading a long body ahead resumes once there is memory

Cause: reading ahead ended for good when the memory for it was used up, and attempts that waited for it were released at once ever after, so each was withheld: the client could not be seen behind its unread bytes. Change: while the last byte has not come the body is read ahead again each 50 ms, and at once when an attempt asks; an attempt looks for the client itself, for up to 0.1 s as before, in place of a channel that is closed once.

--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -48,18 +48,19 @@
 	}
 	s.readAhead()
 	last := newArrival(s.conn, s.length)
-	for {
-		if s.hasArrived(&last, time.Now()) {
-			received()
-			return
-		}
+	for !s.hasArrived(&last, time.Now()) {
 		timer.Reset(arrivalInterval)
 		select {
 		case <-timer.C:
+		case <-s.ahead.wanted:
 		case <-s.endedCh:
 			return
 		}
+		if !s.ahead.isStopped() { // there may be memory again
+			s.readAhead()
+		}
 	}
+	received()
 }
 
 // hasArrived reports whether the last byte has come. The bytes that wait in the socket tell
--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -12,16 +12,15 @@
 	readAheadDelay   = 50 * time.Millisecond  // most requests are sent to a server sooner
 	readAheadPiece   = 64 << 10               // bytes
 	maxReadAheadWait = 100 * time.Millisecond // of an attempt, until it is known whether the client is there
+
+	presencePollInterval = 2 * time.Millisecond
 )
 
 // readAhead holds what was read of a body before an attempt reads it. Its memory comes from the
 // budget for all bodies. It is safe for concurrent use.
 type readAhead struct {
-	budget  *bodyReader
-	wanted  chan struct{} // has an entry once an attempt waits for the client to be seen
-	settled chan struct{} // closed once everything that had come was read, or reading ahead has ended
-
-	settleOnce sync.Once
+	budget *bodyReader
+	wanted chan struct{} // has an entry once an attempt waits for the client to be seen
 
 	mu       sync.Mutex
 	stopped  bool
@@ -32,23 +31,23 @@
 
 // init prepares reading ahead.
 func (a *readAhead) init(budget *bodyReader) {
-	a.budget, a.wanted, a.settled = budget, make(chan struct{}, 1), make(chan struct{})
+	a.budget, a.wanted = budget, make(chan struct{}, 1)
 }
 
-// await has the body read ahead at once, and waits until all that had come is read or can't be.
-func (a *readAhead) await() {
+// request has the body read ahead at once.
+func (a *readAhead) request() {
 	select {
 	case a.wanted <- struct{}{}:
 	default:
 	}
-	select {
-	case <-a.settled:
-	case <-time.After(maxReadAheadWait):
-	}
 }
 
-// settle ends the wait of attempts.
-func (a *readAhead) settle() { a.settleOnce.Do(func() { close(a.settled) }) }
+// isStopped reports whether nothing more is read ahead.
+func (a *readAhead) isStopped() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stopped
+}
 
 // grow returns space to read into; nil if reading ahead has to stop.
 func (a *readAhead) grow() []byte {
@@ -114,11 +113,9 @@
 func (s *streamedBody) readAhead() {
 	s.reading.Lock()
 	defer s.reading.Unlock()
-	defer s.ahead.settle()
 	for {
 		if s.conn != nil && bounded.OpenAndIdle(s.conn.TCPConn) {
 			s.markClientSeen()
-			s.ahead.settle()
 		}
 		space := s.ahead.grow()
 		if space == nil {
@@ -143,12 +140,13 @@
 // the end of its connection. Zero: it is connected now, or what follows the body is read as well.
 // If that was long ago it has the body read ahead and waits for that for a moment.
 func (s *streamedBody) awaitClientSeen() time.Time {
-	seenAt := s.lastClientSeen()
-	if seenAt.IsZero() || time.Since(seenAt) <= guard.ClientPresenceAge {
-		return seenAt
+	for until := time.Now().Add(maxReadAheadWait); ; time.Sleep(presencePollInterval) {
+		seenAt := s.lastClientSeen()
+		if seenAt.IsZero() || time.Since(seenAt) <= guard.ClientPresenceAge || s.failure() != nil || time.Now().After(until) {
+			return seenAt
+		}
+		s.ahead.request()
 	}
-	s.ahead.await()
-	return s.lastClientSeen()
 }
 
 // lastClientSeen is awaitClientSeen without the wait.
--- a/internal/front/readahead_test.go
+++ b/internal/front/readahead_test.go
@@ -153,6 +153,31 @@
 	}
 }
 
+// Guards against refusing a long body for good because the memory for reading it ahead was used up for a
+// while.
+func TestReadingAheadResumesOnceThereIsMemory(t *testing.T) {
+	want := sha256Hex(&patternReader{left: longBody})
+	for _, framing := range []string{"length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			n, release, bodies := startWithUnreachableServer(t, 0)
+			c := dial(t, n.url)
+			go sendLongBody(c, "waits", framing, 9*time.Second, "")
+			time.Sleep(300 * time.Millisecond)
+			n.front.bodies.budget.Store(16 << 20)
+			time.Sleep(200 * time.Millisecond)
+			release()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("got %v, %v\n%s", resp, err, n.Events("waits"))
+			}
+			if got := <-bodies; got != want {
+				t.Error("the server got another body")
+			}
+		})
+	}
+}
+
 // Guards against a client's time that begins only when its long body is sent on: it begins with
 // the last byte, also while the request waits for a server.
 func TestClientTimeCountsWhileLongBodyWaits(t *testing.T) {
