Fix: an id that comes again after its client left does not run a second time

Cause: a request was forgotten with the end of its last attempt; the same id on a new connection was a new request. A second way to the same end: a duplicate that had been refused with 409 took the open request's entry with it when its own client left. Class: what has taken effect is remembered only while somebody waits for it. A request removes only its own entry. Not covered: the same id at the other process of an upgrade.

--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -122,7 +122,7 @@
 	RejectedBodyConsumed
 	// RejectedShutdown: the process is shutting down.
 	RejectedShutdown
-	// RejectedDuplicateID: an open request has the same id.
+	// RejectedDuplicateID: an open request has the same id, or one that may have run lately.
 	RejectedDuplicateID
 	// RejectedRequestLimit: the limit of open requests is reached.
 	RejectedRequestLimit
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"log"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,7 +72,10 @@
 	outcome        balance.AttemptEnded  // reused between calls to avoid allocation
 	fleet          *fleet                // nil: disabled
 	lifecycle      lifecycle
-	memory         *membudget.Budget // for all buffers
+	memory         *membudget.Budget         // for all buffers
+	effects        map[string]balance.Effect // by class
+	recentIDs      guard.RecentIDs           // of requests that may have run and are not safe to repeat
+	hashSeed       maphash.Seed
 
 	lastQueryAt time.Time         // time of the latest query to peers
 	lastReplyAt map[int]time.Time // time of the latest reply to each peer
@@ -111,7 +116,7 @@
 		start: start, origin: origin, events: make(chan any, eventQueueSize), done: make(chan struct{}),
 		requests: map[balance.RequestID]*Request{}, servers: map[balance.ServerID]*backend.Server{},
 		discoveryNodes: float64(cfg.Settings.Nodes), listReceived: make(chan struct{}), commands: make(chan command), list: membership.NewList[discovery.Entry](), maintenance: maintenance.New(nil), metrics: figures.New(classNames(cfg.Settings)), history: eventlog.New(), retryRules: map[string]guard.RetryRules{},
-		lastReplyAt: map[int]time.Time{}, memory: membudget.New(cfg.memoryPlan().Buffers),
+		lastReplyAt: map[int]time.Time{}, memory: membudget.New(cfg.memoryPlan().Buffers), effects: map[string]balance.Effect{}, hashSeed: maphash.MakeSeed(),
 		serverIDs: map[string]balance.ServerID{},
 		pool:      backend.NewPool(cfg.BackendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdleTimeout)}
 	n.pool.Memory = n.memory
@@ -122,6 +127,7 @@
 	for _, c := range cfg.Settings.Classes {
 		deadlines = append(deadlines, c.Deadline)
 		n.retryRules[c.Name] = c.RetryRules()
+		n.effects[c.Name] = c.Effect
 	}
 	n.lifecycle.schedule = guard.NewShutdownSchedule(guard.EffectiveDeadline(deadlines...))
 	return n
@@ -333,8 +339,8 @@
 		return
 	}
 	switch {
-	case n.requests[r.ID] != nil:
-		// The open request continues.
+	case n.requests[r.ID] != nil || n.recentIDs.Contains(n.hashID(r.ID), time.Since(n.start)):
+		// The open request continues; an earlier one may have run.
 		n.finish(r, Response{Status: http.StatusConflict, Reason: figures.RejectedDuplicateID})
 		return
 	case n.refuseNew:
@@ -371,11 +377,18 @@
 
 // removeRequest drops a request that has ended and has no attempt in flight.
 func (n *Node) removeRequest(r *Request) {
-	if r.hasEnded() && r.outstanding == 0 {
-		delete(n.requests, r.ID)
+	if !r.hasEnded() || r.outstanding > 0 || n.requests[r.ID] != r {
+		return
+	}
+	delete(n.requests, r.ID)
+	if n.effects[r.Class] != balance.Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun }) {
+		n.recentIDs.Add(n.hashID(r.ID), time.Since(n.start))
 	}
 }
 
+// hashID returns the hash under which a request's id is remembered.
+func (n *Node) hashID(id balance.RequestID) uint64 { return maphash.String(n.hashSeed, string(id)) }
+
 // handle passes an event to the balance module and executes the returned actions.
 func (n *Node) handle(e balance.Event) {
 	for _, a := range n.module.Handle(n.now(), e) {
