Soak: crowds of slow clients with a low memory limit, series of signals, memory as an oracle

Need: the soak neither had hundreds of clients at a node, nor noticed a process over its memory limit, nor sent more than one signal to a process that ends. Late requests go on to the kill at its earliest time, as before.

--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -23,6 +23,8 @@
 	SlowUploads Shape = iota
 	// StoppedUploads write 200 kB of a body of 300 kB and then nothing more.
 	StoppedUploads
+	// UnfinishedUploads write all but the last 4 kB of a body of 64 kB, which no server ever sees.
+	UnfinishedUploads
 	// ManyFields send heads of 6 kB with 1,500 fields, a request each second.
 	ManyFields
 	// SlowReaders read an answer of 4 MB at 64 kB/s.
@@ -33,7 +35,7 @@
 	NumShapes
 )
 
-var shapeNames = [NumShapes]string{"slow uploads", "stopped uploads", "many fields", "slow readers", "pipeliners"}
+var shapeNames = [NumShapes]string{"slow uploads", "stopped uploads", "unfinished uploads", "many fields", "slow readers", "pipeliners"}
 
 // String returns the name of the shape.
 func (s Shape) String() string { return shapeNames[s] }
@@ -41,6 +43,8 @@
 const (
 	uploadLength   = 300_000 // bytes
 	stoppedLength  = 200_000 // bytes
+	shortLength    = 64_000  // bytes, buffered until it is complete
+	shortWritten   = 60_000  // bytes
 	answerLength   = 4 << 20 // bytes
 	fieldCount     = 1500
 	pipelinedCount = 4      // requests behind the open one
@@ -99,9 +103,11 @@
 	defer conn.Close()
 	switch shape {
 	case SlowUploads:
-		c.upload(ctx, conn, uploadLength)
+		c.upload(ctx, conn, uploadLength, uploadLength)
 	case StoppedUploads:
-		c.upload(ctx, conn, stoppedLength)
+		c.upload(ctx, conn, uploadLength, stoppedLength)
+	case UnfinishedUploads:
+		c.upload(ctx, conn, shortLength, shortWritten)
 	case ManyFields:
 		c.sendManyFields(ctx, conn)
 	case SlowReaders:
@@ -123,13 +129,13 @@
 }
 
 // upload writes the first bytes of a body at once and further ones slowly, and waits for the answer.
-func (c *Crowd) upload(ctx context.Context, conn net.Conn, written int) {
-	fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", c.head(http.MethodPost, c.Target.Unsafe, ""), uploadLength)
+func (c *Crowd) upload(ctx context.Context, conn net.Conn, length, written int) {
+	fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", c.head(http.MethodPost, c.Target.Unsafe, ""), length)
 	body := make([]byte, written)
 	answered := make(chan bool, 1)
 	go func() { answered <- c.readAnswer(ctx, bufio.NewReaderSize(conn, 1024)) }()
 	burst := firstBurst
-	if written < uploadLength {
+	if written < length {
 		burst = written
 	}
 	for len(body) > 0 {
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -282,6 +282,23 @@
 // Terminate sends SIGTERM.
 func (p *Process) Terminate() { p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// Signal sends a signal, unless the process has ended.
+func (p *Process) Signal(sig syscall.Signal) { p.cmd.Process.Signal(sig) }
+
+// PeakMemory returns the most resident memory that the process has had, in bytes; 0 once it has ended.
+func (p *Process) PeakMemory() int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(raw), "VmHWM:")
+	var kilobytes int64
+	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+		return 0
+	}
+	return kilobytes << 10
+}
+
 // Kill sends SIGKILL and waits until the process has ended.
 func (p *Process) Kill() {
 	p.cmd.Process.Kill()
--- a/internal/lab/real/faults.go
+++ b/internal/lab/real/faults.go
@@ -311,6 +311,7 @@
 			b.recorder.Add(history.Event{At: b.Clock(), Kind: history.NodeTerminating, Node: n.Name})
 			n.stopRequested = true
 			p.Terminate()
+			b.repeatSignals(p)
 			incarnation := n.incarnation
 			time.AfterFunc(acceptAfterTerm, func() { b.front.Remove(n.Name, incarnation) })
 			kill := time.AfterFunc(b.shutdownTimeout(), func() {
--- a/internal/lab/real/run.go
+++ b/internal/lab/real/run.go
@@ -24,8 +24,10 @@
 		f := &b.scenario.Faults[i]
 		faults.Go(func() { b.runFault(ctx, f) })
 	}
+	stopCrowd := b.startCrowd(ctx)
 	b.playLoad(ctx, load.NewDeploymentStream(b.scenario, b.options.Deployment, b.options.Seed))
 	faults.Wait()
+	stopCrowd()
 	b.pending.Wait()
 	if ctx.Err() == nil {
 		sleep(ctx, b.scenario.End()-b.Clock()) // the last fault may end after the load
--- a/internal/lab/real/testbed.go
+++ b/internal/lab/real/testbed.go
@@ -49,6 +49,8 @@
 	ControlServices int                 // number of control services in the fleet; IDs start at member.FirstControlID
 	Deployment      *load.Deployment    // nil: load.DefaultDeployment of the scenario
 	ObserveEvents   func(history.Event) // receives each event, one at a time; may be nil
+	Crowd           *Crowd              // nil: none
+	RepeatSignals   bool                // a process that is told to end gets further signals until then
 }
 
 // Testbed runs one scenario. It owns the processes and the simulated clients, servers and discovery.
@@ -449,6 +451,7 @@
 	n.latest.Store(proc)
 	incarnation := n.incarnation
 	b.watchers.Go(func() { b.watchProcess(n, proc, incarnation) })
+	b.watchers.Go(func() { b.watchMemory(n, proc) })
 	if text := proc.PeerAddr(); text != "" { // empty if its settings allow no peers
 		at, err := netip.ParseAddrPort(text) // datagrams from any other address are dropped
 		if err != nil {
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -10,8 +10,11 @@
 	"slices"
 	"time"
 
+	"ivylock/internal/lab/crowd"
 	"ivylock/internal/lab/history"
 	"ivylock/internal/lab/load"
+	"ivylock/internal/lab/nodeconf"
+	"ivylock/internal/lab/real"
 	"ivylock/internal/lab/scenario"
 	"ivylock/internal/lab/sysfault"
 )
@@ -36,6 +39,35 @@
 	notifyDeadline = 6 * time.Second
 )
 
+// Crowds of a soak: every second run has one, with a low memory limit.
+const (
+	crowdFraction  = 0.5
+	maxCrowdNodes  = 3
+	minCrowd       = 300 // clients of a node
+	maxCrowd       = 560
+	crowdMemoryMB  = 64
+	soakMemoryMB   = 192
+	soakSockets    = 1024
+	signalFraction = 0.5 // of the runs: signals to processes that are told to end are repeated
+)
+
+// generateOptions returns the limits, the crowd and the signals of a seed. They are drawn on their own, so
+// that the scenario of a seed does not depend on them.
+func generateOptions(seed int64) real.Options {
+	rng := rand.New(rand.NewPCG(uint64(seed), 0x63726f77))
+	o := real.Options{Limits: nodeconf.Limits{Cores: 1, MemoryMB: soakMemoryMB, Sockets: soakSockets}}
+	o.RepeatSignals = rng.Float64() < signalFraction
+	if rng.Float64() < crowdFraction {
+		o.Limits.MemoryMB = crowdMemoryMB
+		shapes := []crowd.Shape{crowd.UnfinishedUploads, crowd.ManyFields}
+		if rng.IntN(2) == 0 { // all clients alike
+			shapes = shapes[rng.IntN(len(shapes)):][:1]
+		}
+		o.Crowd = &real.Crowd{Nodes: 1 + rng.IntN(maxCrowdNodes), Clients: minCrowd + rng.IntN(maxCrowd-minCrowd+1), Shapes: shapes}
+	}
+	return o
+}
+
 // generator generates the scenario of one seed.
 type generator struct {
 	*rand.Rand
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -17,6 +17,7 @@
 	Seed         int64
 	Nodes        int
 	Faults       int
+	Crowd        bool     // some nodes had a crowd of slow clients
 	Violations   []string // rules and expectations that did not hold, a line each
 	Tries        int
 	LateRequests int // requests on connections of nodes that had been sent SIGTERM
@@ -36,13 +37,15 @@
 func Run(ctx context.Context, program string, seed int64, b Bounds) (*Result, error) {
 	s, deployment := Generate(seed, b)
 	start := time.Now()
-	bed, err := real.New(ctx, s, real.Options{Program: program, Deployment: deployment})
+	options := generateOptions(seed)
+	options.Program, options.Deployment = program, deployment
+	bed, err := real.New(ctx, s, options)
 	if err != nil {
 		return nil, err
 	}
 	got, err := bed.Run(ctx)
 	bed.Close()
-	r := &Result{Seed: seed, Nodes: len(s.Nodes()), Faults: len(s.Faults), Elapsed: time.Since(start), History: got, Scenario: s}
+	r := &Result{Seed: seed, Nodes: len(s.Nodes()), Faults: len(s.Faults), Crowd: options.Crowd != nil, Elapsed: time.Since(start), History: got, Scenario: s}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -86,7 +89,11 @@
 // Summary returns the result on one line, followed by a line for each of the first 20 violations.
 func (r *Result) Summary() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d nodes, %d faults, %d tries, %d restarts, %d late requests (%d crossed), %.0f s: ", r.Seed, r.Nodes, r.Faults, r.Tries, r.Restarts, r.LateRequests, r.CloseRaces, r.Elapsed.Seconds())
+	crowd := ""
+	if r.Crowd {
+		crowd = " a crowd,"
+	}
+	fmt.Fprintf(&b, "seed %d: %d nodes,%s %d faults, %d tries, %d restarts, %d late requests (%d crossed), %.0f s: ", r.Seed, r.Nodes, crowd, r.Faults, r.Tries, r.Restarts, r.LateRequests, r.CloseRaces, r.Elapsed.Seconds())
 	if r.Passed() {
 		b.WriteString("held")
 		return b.String()
