Fix: nothing is written to a process that came up in the place of the chosen one

Cause: an attempt keeps the address that it was given; the list may tell of a restart, a move or a removal while its connection is opened (up to 0.25 s and more) or waits for its reuse (20 ms), and only the return to the pool compared the two. Work that was chosen for a warm process went to a cold one, past the slow start, or to another server. Class: a decision is carried out without a look at what it was based on. Change: just before the write the pool compares the connection's address and start with the server's; if they differ, nothing is written (moot) and the module chooses anew. A connection of a removed server is no longer kept. What no list has told yet can't be seen: a new process at the address looks the same over TCP.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -331,6 +331,51 @@
 	}
 }
 
+// Guards against sending a request to a process that has come up in the place of the chosen one: while its
+// connection was opened, or waited for its reuse, the server was restarted, moved or replaced.
+func TestRequestIsNotSentToSuccessorOfChosenProcess(t *testing.T) {
+	for name, change := range map[string]func(p *Pool, server *Server, addr string){
+		"restarted": func(p *Pool, server *Server, addr string) { p.Update(server, addr, 2) },
+		"moved":     func(p *Pool, server *Server, addr string) { p.Update(server, "127.0.0.1:1", 1) },
+		"removed":   func(p *Pool, server *Server, _ string) { p.Remove(server) },
+	} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reused %v", name, reused), func(t *testing.T) {
+				b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.WriteResponse(c, "200 OK", "done") })
+				p := newPool()
+				server := &Server{}
+				p.Add(server)
+				p.Update(server, b.Addr, 1)
+				written := 0
+				call := func() Call {
+					return Call{Request: NewRequest("GET", "/clip", nil), MayWrite: func() bool { return true }, OnWritten: func() { written++ }}
+				}
+				if reused { // the next exchange waits for the reuse of this one's connection
+					p.reuseDelay = 60 * time.Millisecond
+					if res := p.Exchange(context.Background(), server, call()); res.Code != balance.OK {
+						t.Fatalf("outcome %d", res.Code)
+					}
+					time.AfterFunc(p.reuseDelay/4, func() { change(p, server, b.Addr) })
+				} else {
+					dial := p.dial
+					p.dial = func(ctx context.Context, addr string) (net.Conn, error) {
+						conn, err := dial(ctx, addr)
+						change(p, server, b.Addr)
+						return conn, err
+					}
+				}
+				before := written
+				if res := p.Exchange(context.Background(), server, call()); res.Code != balance.Moot || written != before {
+					t.Errorf("outcome %d, written %d times", res.Code, written-before)
+				}
+				if p.OpenConns() != 0 {
+					t.Errorf("%d connections are open", p.OpenConns())
+				}
+			})
+		}
+	}
+}
+
 func TestInterimResponsesAreSkipped(t *testing.T) {
 	b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool {
 		fmt.Fprint(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -112,6 +112,10 @@
 		p.discard(c)
 		return Result{Code: balance.ConnectFailed} // nothing was written
 	}
+	if !p.isCurrent(server, c) { // another process may answer there
+		p.discard(c)
+		return Result{Code: balance.Moot, Err: errSuccessor}
+	}
 	if call.MayWrite != nil && !call.MayWrite() {
 		p.release(server, c)
 		return Result{Code: balance.Moot}
@@ -137,6 +141,10 @@
 	return result
 }
 
+// errSuccessor is the reason of an exchange whose server was restarted, moved or removed before the
+// message was written.
+var errSuccessor = errors.New("the server's process was replaced while its connection was opened")
+
 // isCancelled reports whether an exchange was cancelled rather than timed out.
 func isCancelled(ctx context.Context) bool {
 	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -179,11 +179,24 @@
 	return true
 }
 
+// leadsTo reports whether a connection leads to the process that a server runs as now, as far as known.
+// The caller holds the lock.
+func (p *Pool) leadsTo(server *Server, c *conn) bool {
+	return p.servers[server] && c.addr == server.addr && c.startedAt == server.startedAt
+}
+
+// isCurrent is leadsTo for a connection in use.
+func (p *Pool) isCurrent(server *Server, c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leadsTo(server, c)
+}
+
 // release returns a connection to the idle list.
 func (p *Pool) release(server *Server, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if server.Disabled() || c.addr != server.addr || c.startedAt != server.startedAt {
+	if server.Disabled() || !p.leadsTo(server, c) {
 		c.Close()
 		p.open--
 		return
