Fix: an id that comes again at the other process of an upgrade does not run twice

Cause: each process knows its own requests only. Change: the processes of a node map a table of hashes into their memory (ivylock.ids in the folder that they share; 98 kB, allocated at the start, since a page that can't be allocated later would end the process). A request that is not safe to repeat is entered before its first attempt is chosen and removed if it has provably not run. An id that another process has entered within 10 s gets 409. After the start no call is made that a standing disk could hold up; without the file the processes go on as before, with a line in the log.

--- a/cmd/ivylock/share.go
+++ b/cmd/ivylock/share.go
@@ -27,6 +27,11 @@
 		return nil
 	}
 	takeOver(n, shared)
+	if ids, err := shared.OpenIDs(); err != nil {
+		log.Printf("%v; ids of requests are not shared with other processes", err)
+	} else {
+		n.SetSharedIDs(ids)
+	}
 	return shared
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,10 +5,8 @@
 
 import (
 	"context"
-	"hash/maphash"
 	"log"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +73,7 @@
 	memory         *membudget.Budget         // for all buffers
 	effects        map[string]balance.Effect // by class
 	recentIDs      guard.RecentIDs           // of requests that may have run and are not safe to repeat
-	hashSeed       maphash.Seed
+	sharedIDs      SharedIDs                 // the same of all processes of the node; nil: there are no others
 
 	lastQueryAt time.Time         // time of the latest query to peers
 	lastReplyAt map[int]time.Time // time of the latest reply to each peer
@@ -116,7 +114,7 @@
 		start: start, origin: origin, events: make(chan any, eventQueueSize), done: make(chan struct{}),
 		requests: map[balance.RequestID]*Request{}, servers: map[balance.ServerID]*backend.Server{},
 		discoveryNodes: float64(cfg.Settings.Nodes), listReceived: make(chan struct{}), commands: make(chan command), list: membership.NewList[discovery.Entry](), maintenance: maintenance.New(nil), metrics: figures.New(classNames(cfg.Settings)), history: eventlog.New(), retryRules: map[string]guard.RetryRules{},
-		lastReplyAt: map[int]time.Time{}, memory: membudget.New(cfg.memoryPlan().Buffers), effects: map[string]balance.Effect{}, hashSeed: maphash.MakeSeed(),
+		lastReplyAt: map[int]time.Time{}, memory: membudget.New(cfg.memoryPlan().Buffers), effects: map[string]balance.Effect{},
 		serverIDs: map[string]balance.ServerID{},
 		pool:      backend.NewPool(cfg.BackendSockets(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdleTimeout)}
 	n.pool.Memory = n.memory
@@ -339,7 +337,7 @@
 		return
 	}
 	switch {
-	case n.requests[r.ID] != nil || n.recentIDs.Contains(n.hashID(r.ID), time.Since(n.start)):
+	case n.requests[r.ID] != nil || n.mayHaveRun(r):
 		// The open request continues; an earlier one may have run.
 		n.finish(r, Response{Status: http.StatusConflict, Reason: figures.RejectedDuplicateID})
 		return
@@ -358,6 +356,7 @@
 		n.fleet.member.CountRequest(r.Tenant)
 	}
 	n.requests[r.ID] = r
+	n.announceRun(r)
 	r.ClientTimeout, r.BodyPending = time.Until(r.Deadline), r.BodyStream != nil
 	n.handle(&r.RequestArrived)
 }
@@ -381,14 +380,9 @@
 		return
 	}
 	delete(n.requests, r.ID)
-	if n.effects[r.Class] != balance.Safe && slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun }) {
-		n.recentIDs.Add(n.hashID(r.ID), time.Since(n.start))
-	}
+	n.rememberRun(r)
 }
 
-// hashID returns the hash under which a request's id is remembered.
-func (n *Node) hashID(id balance.RequestID) uint64 { return maphash.String(n.hashSeed, string(id)) }
-
 // handle passes an event to the balance module and executes the returned actions.
 func (n *Node) handle(e balance.Event) {
 	for _, a := range n.module.Handle(n.now(), e) {
