Fix: bytes that clients send behind an open request count as memory of the process

Cause: up to 32 KiB for each connection were kept with no total, 19 MB for 604 connections: a related path of the incident's memory. Class: limits for each, and none for the sum. What is held is returned when it has been read or the connection ends.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -21,10 +21,12 @@
 )
 
 const (
-	maxReadAhead    = 32 << 10               // bytes kept beyond the open request: clients rarely pipeline
-	readAheadChunk  = 2 << 10                // bytes
-	lateReadTimeout = 100 * time.Millisecond // for bytes that arrived before the read timed out
-	lingerTimeout   = 300 * time.Millisecond // for reading what a client still sends after the close
+	maxReadAhead   = 32 << 10 // bytes kept beyond the open request: clients rarely pipeline
+	readAheadChunk = 2 << 10  // bytes
+	// readAheadReservation is how much memory is reserved at once for bytes beyond the open request.
+	readAheadReservation = 4 << 10
+	lateReadTimeout      = 100 * time.Millisecond // for bytes that arrived before the read timed out
+	lingerTimeout        = 300 * time.Millisecond // for reading what a client still sends after the close
 )
 
 // phase is the phase of a client's connection.
@@ -55,6 +57,7 @@
 	// net/http drops a Content-Length beside a Transfer-Encoding.
 	recorded        []byte
 	readAhead       []byte // read beyond the open request and not delivered yet; at most maxReadAhead
+	readAheadHeld   int64  // bytes reserved for readAhead
 	phase           phase
 	closed          bool  // nothing more is delivered
 	goneErr         error // the read error that showed that the client had disconnected
@@ -82,7 +85,7 @@
 	case len(c.readAhead) > 0 && !watching:
 		n := copy(b, c.readAhead)
 		if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
-			c.readAhead = nil
+			c.releaseReadAhead()
 		}
 		defer c.mu.Unlock()
 		return c.deliver(b[:n], nil)
@@ -101,7 +104,7 @@
 		return c.deliver(b[:n], err)
 	}
 	for chunk := b[:n]; ; chunk = chunk[:n] {
-		if space := maxReadAhead - len(c.readAhead); len(chunk) > space {
+		if space := c.readAheadSpace(len(chunk)); len(chunk) > space {
 			c.readAheadFull, chunk = true, chunk[:space]
 		}
 		c.readAhead = append(c.readAhead, chunk...)
@@ -124,6 +127,25 @@
 	}
 }
 
+// readAheadSpace returns how many of count further bytes may be read ahead. The caller holds the lock.
+func (c *clientConn) readAheadSpace(count int) int {
+	count = min(count, maxReadAhead-len(c.readAhead))
+	for c.readAheadHeld < int64(len(c.readAhead)+count) {
+		if !c.owner.memory.Reserve(guard.PipelinedRequests, readAheadReservation) {
+			return int(c.readAheadHeld) - len(c.readAhead)
+		}
+		c.readAheadHeld += readAheadReservation
+	}
+	return count
+}
+
+// releaseReadAhead drops what was read ahead. The caller holds the lock.
+func (c *clientConn) releaseReadAhead() {
+	c.readAhead = nil
+	c.owner.memory.Release(guard.PipelinedRequests, c.readAheadHeld)
+	c.readAheadHeld = 0
+}
+
 // readLate handles a read that timed out. Bytes that had arrived by then are still read.
 // Guards against rejecting a request that waited unread during a process pause. The caller
 // holds the lock.
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -12,6 +12,7 @@
 	"ivylock/internal/eventlog"
 	"ivylock/internal/figures"
 	"ivylock/internal/invariant"
+	"ivylock/internal/membudget"
 	"ivylock/internal/neterr"
 	"ivylock/internal/node"
 )
@@ -36,6 +37,7 @@
 	rejecting        chan struct{}        // semaphore of connections that are being rejected
 	shutdownResponse func() node.Response // the response to those
 
+	memory     *membudget.Budget // nil: no limit
 	figures    *figures.Set
 	history    *eventlog.Log // nil if no events are kept
 	checker    *invariant.Checker
@@ -203,12 +205,22 @@
 		c.idle[conn] = time.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(c.all, client)
+		if ok {
+			client.dropReadAhead()
+		}
 		if !ok || !client.isLingering() {
 			c.open--
 		}
 	}
 }
 
+// dropReadAhead returns the memory for what was read ahead.
+func (c *clientConn) dropReadAhead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseReadAhead()
+}
+
 // onLingerEnd counts the end of a connection that was still open after its Close.
 func (c *clientConns) onLingerEnd() {
 	c.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -70,6 +70,7 @@
 		clients:    newClientConns(listener, maxConns, n.Metrics(), n.History(), n.Checker()),
 		acceptDone: make(chan struct{}), drainDone: make(chan struct{}),
 	}
+	f.clients.memory = n.Memory()
 	f.clients.shutdownResponse = n.ShutdownResponse
 	for _, c := range classes {
 		f.classes[c.Name] = c
