Fix: the head of a server's response has at most 32 KiB, not 1 MB

Cause: what precedes a body was bounded by the limit for body and framing together, 1 MB for each attempt, and short fields take many times their bytes as a map: a hundred attempts at a server whose heads never end could pass any limit. Found by looking for the incident's class (a limit on bytes where the cost follows the number of elements) on the servers' side; not seen in operation. Change: a limit of 32 KiB for head and interim responses, and the 1 MB for the framed first part of a body alone. Result: TestEndlessHeadIsGivenUpEarly (before: 1 MB of such a head was read), TestLongHeadIsRead; internal/bounded and internal/backend pass.

--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -25,9 +25,11 @@
 	MaxBodyLength = 64 << 20
 	// MaxHeaderBytes is the maximum size of a request header.
 	MaxHeaderBytes = 8 << 10
-	// maxBufferedResponse limits what is read of a response before it is forwarded: its
-	// header, interim responses, MaxBufferedBody and the framing of small chunks.
-	maxBufferedResponse = 16 * MaxBufferedBody
+	// maxResponseHead limits a response's head together with the interim responses before it.
+	maxResponseHead = 32 << 10 // bytes
+	// maxFramedBody limits what is read of a body before it is forwarded: MaxBufferedBody and the
+	// framing of small chunks.
+	maxFramedBody = 16 * MaxBufferedBody
 
 	headReadTimeout     = 500 * time.Millisecond // between two reads of a head
 	streamReadTimeout   = 10 * time.Second       // between two reads of a streamed body
@@ -135,7 +137,7 @@
 // is ErrMalformedResponse if the received bytes are not a valid response, otherwise that of the
 // connection.
 func (r *Reader) ReadHead(req *http.Request) (*Response, error) {
-	r.limit.N, r.timeout = maxBufferedResponse, 0
+	r.limit.N, r.timeout = maxResponseHead, 0
 	if _, err := r.buf.Peek(1); err != nil {
 		return nil, err
 	}
@@ -214,6 +216,7 @@
 // takes; Stop ends it. A body with neither a length nor chunked encoding is complete when its
 // connection is closed and not reset.
 func (r *Response) Buffer() (err error) {
+	r.reader.limit.N = maxFramedBody
 	switch {
 	case r.BodyLength > int64(r.maxBuffered):
 		err = r.bufferStart()
--- a/internal/bounded/answer_test.go
+++ b/internal/bounded/answer_test.go
@@ -206,3 +206,42 @@
 		local.Close()
 	}
 }
+
+// endlessHead is a head of short fields without an end. It counts what is read of it.
+type endlessHead struct {
+	net.Conn
+	read int
+}
+
+func (e *endlessHead) Read(b []byte) (int, error) {
+	const start, field = "HTTP/1.1 200 OK\r\n", "a: b\r\n"
+	if e.read == 0 {
+		e.read = len(start)
+		return copy(b, start), nil
+	}
+	n := copy(b, strings.Repeat(field, len(b)/len(field)))
+	e.read += n
+	return n, nil
+}
+
+func (e *endlessHead) SetReadDeadline(time.Time) error { return nil }
+
+// Guards against a server whose head takes as much memory as it likes, at each of many attempts.
+func TestEndlessHeadIsGivenUpEarly(t *testing.T) {
+	head := &endlessHead{}
+	if _, err := NewReader(head).ReadResponse(nil); !errors.Is(err, ErrMalformedResponse) {
+		t.Errorf("got %v", err)
+	}
+	if head.read > maxResponseHead {
+		t.Errorf("%d bytes of the head were read", head.read)
+	}
+}
+
+// A long head below the limit does not shorten the body.
+func TestLongHeadIsRead(t *testing.T) {
+	raw := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: "+strings.Repeat("y", 990)+"\r\n", 30) + "Content-Length: 60000\r\n\r\n" + strings.Repeat("z", 60_000)
+	status, body, err := read(t, []byte(raw), 5000)
+	if err != nil || status != 200 || len(body) != 60_000 {
+		t.Errorf("got %d, %d bytes, %v", status, len(body), err)
+	}
+}
