A body without memory is refused with a hint when to come back

Need: a refusal for lack of memory had no Retry-After, and hundreds of waiting bodies each looked for memory 200 times a second. Change: Retry-After of 1 s, at most what the settings allow and only where they do; 50 looks a second.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -19,8 +19,8 @@
 	bodyBufferGrowth  = 4       // factor by which the buffer grows
 	// maxMemoryWait is how long a body waits for memory, at most half of the client's time.
 	maxMemoryWait      = 500 * time.Millisecond
-	memoryPollInterval = 5 * time.Millisecond
-	forwardBuffer      = 32 << 10 // bytes of net/http's buffer for forwarding a body
+	memoryPollInterval = 20 * time.Millisecond // hundreds may wait at once
+	forwardBuffer      = 32 << 10              // bytes of net/http's buffer for forwarding a body
 )
 
 var (
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -211,9 +211,7 @@
 // respond writes the final response of a request.
 func (f *HTTP) respond(w http.ResponseWriter, r *http.Request, req *receivedRequest, conn *clientConn, response node.Response) {
 	rest := req.body.rest
-	if response.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 3, 64))
-	}
+	setRetryAfter(w, response.RetryAfter)
 	bodyUnfinished := rest != nil && !rest.complete()
 	if bodyUnfinished || conn.isLastRequest() || (f.draining.Load() || f.clients.nearLimit()) && !conn.hasNextRequest() {
 		w.Header().Set("Connection", "close")
@@ -237,6 +235,13 @@
 	}
 }
 
+// setRetryAfter tells a refused client when to come back; 0: it is told nothing.
+func setRetryAfter(w http.ResponseWriter, delay time.Duration) {
+	if delay > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
+	}
+}
+
 // writeBody writes the body of a response.
 func (f *HTTP) writeBody(w http.ResponseWriter, body []byte) {
 	f.node.Memory().Hold(guard.Responses, int64(len(body)))
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -74,3 +74,37 @@
 		t.Error(held)
 	}
 }
+
+// A body without memory is refused within the client's time, with a hint when to come back, and the next
+// one is served once there is memory.
+func TestBodyWithoutMemoryIsRefusedInTime(t *testing.T) {
+	t.Parallel()
+	server := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool { return nodetest.WriteResponse(c, "200 OK", "done") })
+	n := startNode(t, nodeConfig(t, nodetest.ClosedAddr(t), server.Addr))
+	limit := n.Memory().Limit()
+	order := func(id string, timeout time.Duration) (*http.Response, time.Duration) {
+		c := dial(t, n.url)
+		fmt.Fprintf(c, "POST /order HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Class: order\r\nRequest-Timeout-Ms: %d\r\nContent-Length: 20000\r\n\r\n%s", id, timeout.Milliseconds(), strings.Repeat("x", 20_000))
+		sent := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp, time.Since(sent)
+	}
+	for _, timeout := range []time.Duration{200 * time.Millisecond, 2 * time.Second} {
+		n.Memory().SetLimit(0)
+		resp, took := order(fmt.Sprint("none", timeout), timeout)
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") != "1.000" || took > timeout {
+			t.Errorf("time %v: got %v after %v", timeout, resp, took)
+		}
+		time.AfterFunc(timeout/8, func() { n.Memory().SetLimit(limit) })
+		n.Memory().SetLimit(0)
+		if resp, took := order(fmt.Sprint("late", timeout), timeout); resp.StatusCode != http.StatusOK && timeout > time.Second || took > timeout {
+			t.Errorf("time %v, memory after an eighth: got %v after %v", timeout, resp, took)
+		}
+	}
+	if count := server.RequestCount(); count == 0 {
+		t.Error("nothing was served")
+	}
+}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -41,6 +41,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
 	}
+	if errors.Is(err, errNoMemory) {
+		setRetryAfter(w, f.node.MemoryRetryAfter())
+	}
 	f.node.Metrics().CountUnreadable(status)
 	f.node.History().Add(eventlog.Event{Kind: eventlog.RequestRejected, Connection: conn.id(), Status: status, Reason: err.Error()})
 	w.Header().Set("Connection", "close") // the bytes that follow cannot be trusted to be a request
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -86,6 +86,18 @@
 	Drain() error
 }
 
+// memoryRetryAfter is the retry hint to clients for whose requests there is no memory: about as long as
+// slow clients are borne with.
+const memoryRetryAfter = time.Second
+
+// MemoryRetryAfter returns the retry hint to a client for whose request there is no memory; 0: none.
+func (n *Node) MemoryRetryAfter() time.Duration {
+	if !n.cfg.Settings.RetryAfterSupported {
+		return 0
+	}
+	return min(memoryRetryAfter, n.cfg.Settings.MaxRetryAfter)
+}
+
 // shutdownRetryAfter is the retry hint to clients that a terminating process refuses. It is
 // short because another node can serve them at once.
 const shutdownRetryAfter = 50 * time.Millisecond
