Fix: two processes of an upgrade do not take their node's memory twice

Cause: the total for buffers followed the share of connections, which leaves each process up to three quarters while the other holds few, and the heap's limit was not shared at all. Found when the total was checked across an upgrade. Class: limits for each process, and none for the sum. Change: beside another process a process has half of the buffers and half of the heap's limit (handoff.MemoryShare), all of it once it is alone.

--- a/cmd/ivylock/share.go
+++ b/cmd/ivylock/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"log"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"ivylock/handoff"
@@ -38,10 +39,12 @@
 // shareConnections keeps this process to its share of the node's connections until ctx
 // ends. If shared is nil it uses the minimum share and retries to open the directory.
 func shareConnections(ctx context.Context, shared *handover.SharedDir, n *node.Node, frontEnd *front.HTTP, full handover.Usage, name string) {
-	memory := n.Memory().Limit()
-	setLimits := func(limit handover.Usage, _ bool) {
+	buffers, heap := n.Memory().Limit(), debug.SetMemoryLimit(-1)
+	setLimits := func(limit handover.Usage, alone bool) {
 		frontEnd.SetMaxConns(limit.Clients)
-		n.Memory().SetLimit(memory * int64(limit.Clients) / int64(max(1, full.Clients)))
+		share := handoff.MemoryShare(alone)
+		n.Memory().SetLimit(int64(share * float64(buffers)))
+		debug.SetMemoryLimit(int64(share * float64(heap)))
 		n.BackendPool().SetMaxConns(limit.Backends)
 	}
 	if shared == nil {
--- a/handoff/handoff.go
+++ b/handoff/handoff.go
@@ -150,5 +150,14 @@
 	return max(total/reservedDivisor, min(total-total/reservedDivisor, total-others))
 }
 
+// MemoryShare returns the part of a node's memory that a process may use: all if it is the only one,
+// else half. Memory is not released as fast as connections, so what others hold does not count.
+func MemoryShare(alone bool) float64 {
+	if alone {
+		return 1
+	}
+	return 0.5
+}
+
 // reservedDivisor is the divisor of the total that gives the connections reserved for each process.
 const reservedDivisor = 4
