Fix: processes that write to the shared table of ids at once can't mix their entries

Cause: an entry's hash, owner and time were three words. A process that looked for an id while another replaced the entry could read its own hash with the other's name, and take its own id for the other's. TestProcessesShareIDsConcurrently, which had passed when the table was made, showed it in the next run of internal/handover under the race detector. Change: the upper 44 bits of the hash and 20 bits of the process are one word, written and removed at once; the time is written before it, as an id without its time would be missed. The table has 64 kB.

--- a/internal/handover/ids.go
+++ b/internal/handover/ids.go
@@ -17,13 +17,16 @@
 	idsName = "ivylock.ids"
 	idSets  = 1024 // each remembers idWays ids; the oldest of a full set is replaced
 	idWays  = 4
+
+	ownerBits = 20 // of an entry's word; the others are of the hash
+	ownerMask = 1<<ownerBits - 1
 )
 
-// idEntry is an id in the shared table. An entry whose time is 0 is empty.
+// idEntry is an id in the shared table. Hash and owner are one word, so that two processes that write to an
+// entry at once can't mix theirs.
 type idEntry struct {
-	hash  atomic.Uint64
-	owner atomic.Uint64 // the process that added it
-	at    atomic.Int64  // nanoseconds of the machine's monotonic clock, which its processes share
+	word atomic.Uint64 // upper bits of the hash, and the process that added it; 0: empty
+	at   atomic.Int64  // nanoseconds of the machine's monotonic clock, which its processes share
 }
 
 // idTable is shared by the processes of a node that overlap.
@@ -38,7 +41,7 @@
 type SharedIDs struct {
 	table  *idTable
 	memory []byte
-	owner  uint64
+	owner  uint64 // in the lower ownerBits
 }
 
 // OpenIDs opens the ids that this process shares with the others of its node.
@@ -56,7 +59,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("handover: %s: %w", idsName, err)
 	}
-	return &SharedIDs{table: (*idTable)(unsafe.Pointer(&memory[0])), memory: memory, owner: uint64(d.id)}, nil
+	return &SharedIDs{table: (*idTable)(unsafe.Pointer(&memory[0])), memory: memory, owner: uint64(d.id) & ownerMask}, nil
 }
 
 // Add remembers the hash of a request's id.
@@ -67,7 +70,7 @@
 	set := &s.table[hash%idSets]
 	entry := &set[0]
 	for i := range set {
-		if set[i].hash.Load() == hash && set[i].owner.Load() == s.owner {
+		if set[i].word.Load() == s.word(hash) {
 			entry = &set[i]
 			break
 		}
@@ -75,21 +78,20 @@
 			entry = &set[i]
 		}
 	}
-	entry.at.Store(0)
-	entry.hash.Store(hash)
-	entry.owner.Store(s.owner)
-	entry.at.Store(monotonicNow())
+	entry.at.Store(monotonicNow()) // first: an id without its time would be missed
+	entry.word.Store(s.word(hash))
 }
 
+// word returns the word of an entry for an id of this process.
+func (s *SharedIDs) word(hash uint64) uint64 { return hash&^ownerMask | s.owner }
+
 // Remove forgets an id that this process has added: its request has not run.
 func (s *SharedIDs) Remove(hash uint64) {
 	if s == nil {
 		return
 	}
 	for i := range s.table[hash%idSets] {
-		if entry := &s.table[hash%idSets][i]; entry.hash.Load() == hash && entry.owner.Load() == s.owner {
-			entry.at.Store(0)
-		}
+		s.table[hash%idSets][i].word.CompareAndSwap(s.word(hash), 0)
 	}
 }
 
@@ -101,8 +103,8 @@
 	now := monotonicNow()
 	for i := range s.table[hash%idSets] {
 		entry := &s.table[hash%idSets][i]
-		at := entry.at.Load()
-		if at != 0 && entry.hash.Load() == hash && entry.owner.Load() != s.owner && now-at <= int64(guard.RecentIDWindow) {
+		word := entry.word.Load()
+		if word != 0 && word != s.word(hash) && word&^ownerMask == hash&^ownerMask && now-entry.at.Load() <= int64(guard.RecentIDWindow) {
 			return true
 		}
 	}
