Fix: a client is not held to its rate while the node does not read its body

Cause: the lowest rate of a long upload was counted from the head on, also while the node read nothing because it had no memory for the body. Callers that sent as fast as they were read got 408. Seen in the event log of TestLongBodiesAreStreamedUnchanged beside other load: four seconds of withheld attempts, then "abandoned".

Change: only the time that reads of the connection take counts. The separate correction for waits for memory is not needed any more. The node's deadline still bounds the whole upload.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -90,7 +90,7 @@
 	if r.ContentLength > bounded.MaxBodyLength {
 		return body, errTooLong
 	}
-	stream := &streamedBody{controller: http.NewResponseController(w), body: r.Body, length: r.ContentLength, startedAt: time.Now(), endedCh: make(chan struct{})}
+	stream := &streamedBody{controller: http.NewResponseController(w), body: r.Body, length: r.ContentLength, endedCh: make(chan struct{})}
 	stream.ahead.init(b)
 	if err = body.fill(stream, min(maxMemoryWait, clientTime/2)); err != nil {
 		body.release()
@@ -157,8 +157,7 @@
 	return nil
 }
 
-// reserve reserves memory, and waits for it if there is none. The client is not held to its rate
-// meanwhile.
+// reserve reserves memory, and waits for it if there is none.
 func (b *receivedBody) reserve(size int64, stream *streamedBody, wait time.Duration) error {
 	start := time.Now()
 	for !b.reader.memory.Reserve(guard.RequestBodies, size) {
@@ -167,9 +166,7 @@
 		}
 		time.Sleep(memoryPollInterval)
 	}
-	waited := time.Since(start)
-	stream.memoryWait += waited
-	stream.startedAt = stream.startedAt.Add(waited)
+	stream.memoryWait += time.Since(start)
 	b.held += size
 	return nil
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -16,8 +16,8 @@
 	earlyResponseLinger = 2 * time.Second // for reading a body after an early response
 
 	bodyReadTimeout = time.Second     // for each read
-	bodyRateGrace   = 2 * time.Second // before minBodyRate applies
-	minBodyRate     = 32 << 10        // bytes per second, on average after the grace period
+	bodyRateGrace   = 2 * time.Second // of waiting for the client, before minBodyRate applies
+	minBodyRate     = 32 << 10        // bytes per second of waiting for the client, on average after the grace period
 )
 
 // streamedBody is a body that is forwarded while it is read. It implements node.BodyStream.
@@ -27,7 +27,6 @@
 	conn       *clientConn // nil: unknown
 	body       io.Reader
 	length     int64         // -1 if unknown before the end
-	startedAt  time.Time     // later by memoryWait
 	memoryWait time.Duration // how long reading waited for memory
 	timeout    time.Duration
 	latest     time.Time // no deadline is later
@@ -41,9 +40,10 @@
 
 	mu           sync.Mutex
 	received     int64
-	done         bool      // the last byte has been read
-	completedAt  time.Time // when the last byte was read, or came as far as known
-	arrived      bool      // completedAt is known, though the last byte may not have been read
+	waited       time.Duration // in reads of the connection
+	done         bool          // the last byte has been read
+	completedAt  time.Time     // when the last byte was read, or came as far as known
+	arrived      bool          // completedAt is known, though the last byte may not have been read
 	err          error
 	clientSeenAt time.Time // when the connection was last seen open with nothing unread
 }
@@ -120,10 +120,12 @@
 	if s.ended.Load() { // end may have been called before the deadline was set
 		s.controller.SetReadDeadline(time.Unix(1, 0))
 	}
+	start := time.Now()
 	n, err := s.body.Read(b)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.received += int64(n)
+	s.waited += time.Since(start)
 	switch {
 	case errors.Is(err, io.EOF) || err == nil && s.received == s.length:
 		s.markComplete()
@@ -142,7 +144,8 @@
 	return n, err
 }
 
-// readDeadline returns until when the next read may take, or the error that it has to return.
+// readDeadline returns until when the next read may take, or the error that it has to return. A client
+// is not held to its rate while nothing is read.
 func (s *streamedBody) readDeadline() (time.Time, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,11 +155,11 @@
 	case s.err != nil:
 		return time.Time{}, s.err
 	}
-	deadline := s.startedAt.Add(bodyRateGrace + time.Duration(float64(s.received)/minBodyRate*float64(time.Second)))
-	if stallDeadline := time.Now().Add(bodyReadTimeout); s.received == 0 || stallDeadline.Before(deadline) {
-		deadline = stallDeadline
+	timeout := bodyRateGrace + time.Duration(float64(s.received)/minBodyRate*float64(time.Second)) - s.waited
+	if s.received == 0 || timeout > bodyReadTimeout {
+		timeout = bodyReadTimeout
 	}
-	return deadline, nil
+	return time.Now().Add(timeout), nil
 }
 
 // markComplete records that the last byte has been read, and removes the read deadline:
