Fix: an answer's value counts from the last byte of a body that is still arriving

Cause: the module took the age of a request from its head, also for a body that was still coming. After the class's target latency every further attempt was given up as worthless, though the client's time begins with its last byte. Callers with long uploads got 503.

Change: waitOf leaves the time out until RequestBodyReceived. Requests with complete bodies are unchanged.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -434,7 +434,7 @@
 		m.countInFlight(att)
 	}
 	if cls := req.class; cls.valueLimit > 0 && m.largeFleet {
-		timeout = max(m.settings.MinTick, min(timeout, cls.valueLimit-req.waited-(m.now-req.arrived)))
+		timeout = max(m.settings.MinTick, min(timeout, cls.valueLimit-m.waitOf(req)))
 	}
 	att.sending = Sending{ID: req.id, Server: srv.ID, Timeout: min(timeout, req.deadline-m.now),
 		WriteWithin: m.retryWriteWindow(req)}
@@ -473,7 +473,7 @@
 	cls := m.classOf(event.Class)
 	req := m.newRequest()
 	req.id, req.class, req.arrived, req.deadline = event.ID, cls, m.now, m.now+event.ClientTimeout
-	req.bodyPending = event.BodyPending
+	req.bodyPending, req.bodyArriving = event.BodyPending, event.BodyPending
 	m.requests[event.ID], m.open = req, append(m.open, req)
 	req.waited = m.earlierWait(cls, event)
 	priority := cls.priority
@@ -613,10 +613,18 @@
 	}
 }
 
+// waitOf returns how long the client has waited at least, which begins with the last byte of its request.
+func (m *Module) waitOf(req *request) time.Duration {
+	if req.bodyArriving {
+		return req.waited
+	}
+	return req.waited + m.now - req.arrived
+}
+
 // tooLate reports whether an answer that arrives after the given number of seconds has no
 // value.
 func (m *Module) tooLate(req *request, after float64) bool {
-	waited := (req.waited + m.now - req.arrived).Seconds()
+	waited := m.waitOf(req).Seconds()
 	return req.class.valueLimit > 0 && waited > 0 && waited+after >= req.class.valueLimit.Seconds()
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -102,8 +102,8 @@
 	outstanding       int
 	// done: the request has its final answer. streamStarted: its answer has begun.
 	priority, done, streamStarted, trial bool
-	// The body cannot be sent again; the body is still arriving.
-	bodyConsumed, bodyPending bool
+	// The body cannot be sent again; it has not been sent; its last byte has not come from the client.
+	bodyConsumed, bodyPending, bodyArriving bool
 }
 
 // applyShares applies this node's share of the fleet-wide limits.
@@ -499,9 +499,13 @@
 	}
 }
 
-// handleBodyReceived sets the deadline of a request that had none before its last byte.
+// handleBodyReceived sets the deadline of a request that had none before its last byte. The client's
+// time counts from now on.
 func (m *Module) handleBodyReceived(event RequestBodyReceived) {
 	if req := m.requests[event.ID]; req != nil {
+		if req.bodyArriving {
+			req.bodyArriving, req.arrived = false, m.now
+		}
 		req.deadline = min(req.deadline, m.now+event.ClientTimeout)
 	}
 }
