Fix: withheld attempts don't use up a request whose client is not known to be there

Cause: before a long body is sent, its client has to be known to be connected. Where unread bytes could hide the end of the connection and there was no memory to read them ahead, the attempt was withheld as client_unverified, counted, and was repeated at once at the next server. After four of them, about a second, a client that was sending all the time got 503 no_server.

Change: AttemptEnded.Postponed. The wait ends with the client's time after the head (guard.MayAwaitPresence), the request's deadline, or the shutdown.

--- a/balance/api.go
+++ b/balance/api.go
@@ -254,6 +254,9 @@
 		Code         OutcomeCode
 		Report       *Report // nil if there is none
 		BodyConsumed bool    // the body was consumed and cannot be sent again
+		// Postponed: nothing was sent, as the client could not be known to be connected, which may
+		// change. Code is Moot.
+		Postponed bool
 	}
 	// StreamStarted reports that a streamed answer has begun.
 	StreamStarted struct {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -389,14 +389,14 @@
 // maySend applies every rule on sending; each send passes it.
 func (m *Module) maySend(req *request, srv *server) bool {
 	if req.done || req.streamStarted || req.bodyConsumed || m.now >= req.deadline ||
-		len(req.attempts) >= max(1, m.settings.MaxAttempts) ||
+		len(req.attempts)-req.postponement.count >= max(1, m.settings.MaxAttempts) ||
 		srv.State != Ready || req.outstanding >= 2 || req.outstanding > 0 && !m.settings.MayOverlap {
 		return false
 	}
 	// The latest write time, not counting a dial.
 	written := m.now + max(m.settings.MinTick, m.settings.MaxProcessPause)
 	for _, att := range req.attempts {
-		if att.server == srv {
+		if att.server == srv && !att.postponed {
 			return false
 		}
 		if att.mayHaveRun &&
@@ -608,6 +608,8 @@
 		m.close(req)
 	case !req.done && req.outstanding == 0 && req.bodyConsumed:
 		m.finish(req, CauseBodyConsumed)
+	case !req.done && req.outstanding == 0 && event.Postponed:
+		m.postpone(req, att)
 	case !req.done && req.outstanding == 0:
 		m.retry(req, att.mayHaveRun || m.largeFleet && event.Code == Full)
 	}
@@ -670,6 +672,7 @@
 		if !req.done && !req.streamStarted && m.now >= req.deadline {
 			m.finish(req, CauseDeadline) // also if an outcome never arrives
 		}
+		m.resumePostponed(req)
 		if !req.done {
 			open = append(open, req)
 		} else if req.outstanding == 0 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -91,6 +91,7 @@
 	counted                      bool // among the server's attempts in flight
 	streaming                    bool // the answer is being streamed
 	hopeless                     bool // the client's time was too short for an answer: no evidence on the server
+	postponed                    bool // nothing was sent, and the request waits; see postpone
 }
 
 type request struct {
@@ -104,6 +105,7 @@
 	priority, done, streamStarted, trial bool
 	// The body cannot be sent again; it has not been sent; its last byte has not come from the client.
 	bodyConsumed, bodyPending, bodyArriving bool
+	postponement                            postponement
 }
 
 // applyShares applies this node's share of the fleet-wide limits.
--- a/guard/attempt.go
+++ b/guard/attempt.go
@@ -14,6 +14,11 @@
 // sent for a client that has been gone for longer than that.
 const ClientPresenceAge = 100 * time.Millisecond
 
+// MayAwaitPresence reports whether a request whose head was read some time ago may wait further until
+// its client can be known to be connected. The client's time, which begins with its last byte, bounds
+// the wait for clients that have yet to send it.
+func MayAwaitPresence(sinceRead, clientTime time.Duration) bool { return sinceRead < clientTime }
+
 // WithholdReason is why a chosen attempt must not be written.
 type WithholdReason int
 
--- a/guard/rules_test.go
+++ b/guard/rules_test.go
@@ -73,6 +73,17 @@
 	}
 }
 
+func TestWaitForPresenceOfClientIsBounded(t *testing.T) {
+	for waited, want := range map[time.Duration]bool{0: true, 999 * time.Millisecond: true, time.Second: false, time.Minute: false} {
+		if got := MayAwaitPresence(waited, time.Second); got != want {
+			t.Errorf("after %v of 1 s: %v", waited, got)
+		}
+	}
+	if MayAwaitPresence(0, 0) {
+		t.Error("a client without time is waited for")
+	}
+}
+
 // After a process pause of MaxProcessPause, the time limit passed on to a server must still be
 // within the client's time plus the protocol's slack.
 func TestForwardedTimeoutAllowsForProcessPause(t *testing.T) {
--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -108,7 +108,7 @@
 			}
 			defer resp.Body.Close()
 			if got := sha256Hex(resp.Body); resp.StatusCode != 200 || got != want {
-				t.Errorf("%s: %d, body differs: %v", id, resp.StatusCode, got != want)
+				t.Errorf("%s: %d, body differs: %v\n%s", id, resp.StatusCode, got != want, n.Events(id))
 			}
 		}()
 	}
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -30,6 +30,7 @@
 	sends            *version.SendCounter // nil: not counted
 	timer            *attemptTimer        // cancels the attempt at its deadline
 	forwardedTimeout time.Duration        // timeout sent to the server; owned by the attempt's goroutine
+	postponed        bool                 // nothing was sent, as the client is not known to be connected, which may change
 	mayHaveRun       bool                 // in flight, or ended without proof that it did not run; owned by the loop
 }
 
@@ -140,6 +141,7 @@
 			if reason := n.checkBeforeWrite(ctx, a); reason != guard.Permitted {
 				n.metrics.AttemptsWithheld.Add(int(reason))
 				n.logEvent(a, eventlog.AttemptWithheld, n.metrics.AttemptsWithheld.Label(int(reason)))
+				a.postponed = reason == guard.WithheldClientUnverified && guard.MayAwaitPresence(time.Since(r.ReadAt), r.BodyStream.Timeout())
 				return false
 			}
 			if a.sends != nil {
@@ -188,7 +190,7 @@
 		n.finish(r, Response{Status: http.StatusOK, Body: e.Body})
 	}
 	n.outcome = balance.AttemptEnded{ID: r.ID, Attempt: e.number, Server: e.server.ID, RequestDone: r.hasEnded(),
-		Elapsed: e.elapsed, Code: e.Code, Report: e.Report, BodyConsumed: r.bodyConsumed.Load()}
+		Elapsed: e.elapsed, Code: e.Code, Report: e.Report, BodyConsumed: r.bodyConsumed.Load(), Postponed: e.postponed}
 	n.handle(&n.outcome)
 	n.removeRequest(r)
 	e.server.InFlight--
