Fix: long bodies that wait together are read ahead one after another

Cause: two faults of reading ahead. All waiting bodies took from its memory (an eighth of memory_mb) until it was used up: a part of each, none of them complete, so that no client could be known to be there and none was sent. And it ended as soon as the last byte had come to the machine, so that a body that could be read no further then was never read further. Callers of several large uploads at once got 503.

Change: half of the memory is free for all; the rest goes to one body at a time (bodyReader.turn), until it is complete, its client is seen to pause, or an attempt reads it. Reading ahead goes on until an attempt reads the body (followArrival). The test's server takes more connections at once after Release: with a backlog of 0 it reset some of six.

--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -34,33 +34,43 @@
 	return a
 }
 
-// awaitLastByte calls received once the last byte of the body has come, unless the request ends
-// before. Guards against a client's time that counts from a later moment because its request
-// waits for a server, or for a server that has stopped reading.
-func (s *streamedBody) awaitLastByte(received func()) {
+// followArrival reads the body ahead until an attempt reads it, and calls received once its last byte
+// has come, unless the request ends before. Guards against a client's time that counts from a later
+// moment because its request waits for a server, or for a server that has stopped reading.
+func (s *streamedBody) followArrival(received func()) {
 	timer := time.NewTimer(readAheadDelay)
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-s.ahead.wanted:
-	case <-s.endedCh:
+	if !s.awaitCheck(timer) {
 		return
 	}
 	s.readAhead()
-	last := newArrival(s.conn, s.length)
-	for !s.hasArrived(&last, time.Now()) {
-		timer.Reset(arrivalInterval)
-		select {
-		case <-timer.C:
-		case <-s.ahead.wanted:
-		case <-s.endedCh:
+	last, arrived := newArrival(s.conn, s.length), false
+	for {
+		if !arrived && s.hasArrived(&last, time.Now()) {
+			arrived = true
+			received()
+		}
+		if arrived && (s.ahead.isStopped() || s.complete() || s.failure() != nil) {
 			return
 		}
-		if !s.ahead.isStopped() { // there may be memory again
-			s.readAhead()
+		timer.Reset(arrivalInterval)
+		if !s.awaitCheck(timer) {
+			return
 		}
+		s.readAhead() // there may be memory again
+	}
+}
+
+// awaitCheck waits for a timer, or until the body has to be read ahead at once. It returns false at the
+// end of the request.
+func (s *streamedBody) awaitCheck(timer *time.Timer) bool {
+	select {
+	case <-timer.C:
+	case <-s.ahead.wanted:
+	case <-s.endedCh:
+		return false
 	}
-	received()
+	return true
 }
 
 // hasArrived reports whether the last byte has come. The bytes that wait in the socket tell
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -15,6 +15,7 @@
 	// allows it. A request whose body is buffered can be retried.
 	MaxBudgetedBody = 256 << 10
 
+	scarceDivisor     = 2       // the budget divided by this is its scarce part
 	initialBodyBuffer = 4 << 10 // bytes; counts as memory of the connection
 	bodyBufferGrowth  = 4       // factor by which the buffer grows
 	// maxMemoryWait is how long a body waits for memory, at most half of the client's time.
@@ -31,16 +32,39 @@
 // bodyReader reads request bodies. Up to bounded.MaxBufferedBody of each is buffered, and up
 // to MaxBudgetedBody while the budget for all bodies allows it. The rest is streamed.
 type bodyReader struct {
-	budget atomic.Int64      // for what is buffered beyond bounded.MaxBufferedBody, or read ahead
-	memory *membudget.Budget // for all that is buffered
+	budget atomic.Int64              // for what is buffered beyond bounded.MaxBufferedBody, or read ahead
+	scarce atomic.Int64              // with no more than this left of the budget, one body at a time is read ahead
+	memory *membudget.Budget         // for all that is buffered
+	turn   atomic.Pointer[readAhead] // the body that is read ahead while the budget is scarce
 }
 
 func newBodyReader(budget int64, memory *membudget.Budget) *bodyReader {
 	b := &bodyReader{memory: memory}
-	b.budget.Store(budget)
+	b.setBudget(budget)
 	return b
 }
 
+// setBudget sets the budget, of which nothing may be in use.
+func (b *bodyReader) setBudget(budget int64) {
+	b.budget.Store(budget)
+	b.scarce.Store(budget / scarceDivisor)
+}
+
+// reserveAhead is reserve for a body that is read ahead. Once the budget is scarce one body at a time
+// gets the rest of it: parts of many bodies, none of them complete, would leave all of them waiting.
+func (b *bodyReader) reserveAhead(ahead *readAhead, n int64) bool {
+	if b.isScarce() && b.turn.Load() != ahead && !b.turn.CompareAndSwap(nil, ahead) {
+		return false
+	}
+	return b.reserve(n)
+}
+
+// isScarce reports whether little of the budget is left.
+func (b *bodyReader) isScarce() bool { return b.budget.Load() <= b.scarce.Load() }
+
+// endTurn lets another body be read ahead while the budget is scarce.
+func (b *bodyReader) endTurn(ahead *readAhead) { b.turn.CompareAndSwap(ahead, nil) }
+
 // reserve reserves n bytes beyond the buffer of each body and reports whether they were available.
 func (b *bodyReader) reserve(n int64) bool {
 	if b.budget.Add(-n) < 0 {
@@ -131,7 +155,7 @@
 		return true
 	case b.extended > 0:
 		return len(b.buffered) < MaxBudgetedBody
-	case length > MaxBudgetedBody || !b.reader.reserve(extension):
+	case length > MaxBudgetedBody || b.reader.isScarce() || !b.reader.reserve(extension):
 		return false
 	}
 	b.extended = extension
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -157,7 +157,7 @@
 	f.logEvent(eventlog.RequestRead, req, conn, 0, "")
 	responses := f.node.Submit(req.Request)
 	if rest != nil {
-		go rest.awaitLastByte(func() { f.node.BodyReceived(req.Request) })
+		go rest.followArrival(func() { f.node.BodyReceived(req.Request) })
 	}
 	response, answered := f.awaitResponse(r, req, conn, responses)
 	if rest != nil {
--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -57,7 +57,7 @@
 		return nil
 	}
 	if len(a.space) == 0 {
-		if !a.budget.reserve(readAheadPiece) {
+		if !a.budget.reserveAhead(a, readAheadPiece) {
 			return nil
 		}
 		a.reserved += readAheadPiece
@@ -90,11 +90,19 @@
 	return n
 }
 
+// endTurn lets other bodies have the memory that is left.
+func (a *readAhead) endTurn() {
+	if a.budget != nil {
+		a.budget.endTurn(a)
+	}
+}
+
 // stop ends reading ahead. A read that is running is completed.
 func (a *readAhead) stop() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.stopped = true
+	a.endTurn()
 }
 
 // release drops what was read and returns its memory to the budget.
@@ -105,17 +113,22 @@
 		a.budget.release(a.reserved)
 	}
 	a.stopped, a.reserved, a.pieces, a.space = true, 0, nil, nil
+	a.endTurn()
 }
 
 // readAhead reads the body while its request waits for a server, as long as the budget for all
 // bodies allows it. Guards against sending a request whose client has left: the end of a
 // connection is seen only once everything before it has been read.
 func (s *streamedBody) readAhead() {
+	if s.ahead.isStopped() {
+		return
+	}
 	s.reading.Lock()
 	defer s.reading.Unlock()
 	for {
 		if s.conn != nil && bounded.OpenAndIdle(s.conn.TCPConn) {
 			s.markClientSeen()
+			s.ahead.endTurn()
 		}
 		space := s.ahead.grow()
 		if space == nil {
@@ -124,6 +137,7 @@
 		n, err := s.readConn(space)
 		s.ahead.add(n)
 		if err != nil || s.complete() {
+			s.ahead.endTurn()
 			return
 		}
 	}
--- a/internal/front/readahead_test.go
+++ b/internal/front/readahead_test.go
@@ -56,7 +56,7 @@
 	cfg.Settings.ConnectTimeout = 8 * time.Second
 	n = startNode(t, cfg)
 	if budget >= 0 {
-		n.front.bodies.budget.Store(budget)
+		n.front.bodies.setBudget(budget)
 	}
 	bodies = make(chan string, 100)
 	return n, func() {
@@ -165,7 +165,7 @@
 			c := dial(t, n.url)
 			go sendLongBody(c, "waits", framing, 9*time.Second, "")
 			time.Sleep(300 * time.Millisecond)
-			n.front.bodies.budget.Store(16 << 20)
+			n.front.bodies.setBudget(16 << 20)
 			time.Sleep(200 * time.Millisecond)
 			release()
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -179,6 +179,39 @@
 	}
 }
 
+// Guards against refusing long bodies that wait together: the memory holds some of them, and parts of all
+// are of no use. They are read ahead and sent one after another.
+func TestLongBodiesThatWaitTogetherAreSent(t *testing.T) {
+	const clients = 6
+	want := sha256Hex(&patternReader{left: longBody})
+	for _, framing := range []string{"length", "chunks"} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			const budget = 3 * longBody
+			n, release, bodies := startWithUnreachableServer(t, budget)
+			var all sync.WaitGroup
+			for i := range clients {
+				all.Go(func() {
+					c, id := dial(t, n.url), fmt.Sprint("waits", i)
+					go sendLongBody(c, id, framing, 9*time.Second, "")
+					resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+					if err != nil || resp.StatusCode != http.StatusOK {
+						t.Errorf("got %v, %v\n%s", resp, err, n.Events(id))
+						return
+					}
+					if got := <-bodies; got != want {
+						t.Error("the server got another body")
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			release()
+			all.Wait()
+			waitFor(t, "the budget is returned", func() bool { return n.front.bodies.budget.Load() == budget })
+		})
+	}
+}
+
 // Guards against a response 408 to a client that was kept from sending, as nothing was read while there
 // was no memory for its body.
 func TestClientIsNotHeldToItsRateWhileNothingIsRead(t *testing.T) {
@@ -187,7 +220,7 @@
 	const pause = bodyRateGrace + (bounded.MaxBufferedBody/minBodyRate)*time.Second + 500*time.Millisecond
 	n, release, bodies := startWithUnreachableServer(t, 0)
 	time.AfterFunc(pause, func() {
-		n.front.bodies.budget.Store(2 * size)
+		n.front.bodies.setBudget(2 * size)
 		release()
 	})
 	resp, err := n.post(t, "waits", &patternReader{left: size}, size)
--- a/internal/nodetest/nodetest.go
+++ b/internal/nodetest/nodetest.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -133,7 +134,7 @@
 // BlockedListener is a listener whose backlog is full until Release is called, so that the
 // kernel drops connection attempts. Clients retry after 1 s, then at most once a second.
 type BlockedListener struct {
-	net.Listener
+	*net.TCPListener
 	backlog []net.Conn
 }
 
@@ -157,7 +158,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	blocked := &BlockedListener{Listener: l}
+	blocked := &BlockedListener{TCPListener: l.(*net.TCPListener)}
 	for range 8 {
 		c, err := net.DialTimeout("tcp", l.Addr().String(), 50*time.Millisecond)
 		if err != nil {
@@ -169,9 +170,18 @@
 	return nil
 }
 
-// Release empties the backlog, so that connections succeed from then on.
+// Release empties the backlog and makes it longer, so that connections succeed from then on.
 func (l *BlockedListener) Release(t testing.TB) {
 	t.Helper()
+	const releasedBacklog = 128 // connections
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), releasedBacklog) })
+	if err := errors.Join(controlErr, err); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range l.backlog {
 		got, err := l.Accept()
 		if err != nil {
