Fix: a server is not taken for dead because the node got no processor while it connected

Cause: net.Dialer's timeout runs out although the connection is there, if the goroutine that waits for it has not run since. Timers go before what the poller makes ready, so on a busy core nearly every dial to a sound server ended with "i/o timeout"; it counted as connect_failed, used up the request's attempts, and made servers suspect. Callers got 503 no_server.

Change: when the time is over, what is ready runs first, up to four times; a connection that came meanwhile is used. A process with a free core loses nothing by it.

--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"os"
+	"runtime"
 	"time"
 
 	"ivylock/internal/neterr"
@@ -15,17 +18,56 @@
 	// resources, if the connect timeout is not shorter. Another server may have an idle
 	// connection that needs no dial.
 	dialRetryTimeout = 50 * time.Millisecond
+	// dialYields is how often what is ready runs before a dial counts as timed out.
+	dialYields = 4
 )
 
 // dialFunc opens a connection.
 type dialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
+// dialResult is the result of a dial.
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
 // netDialer returns a dialFunc for TCP with the given timeout per dial.
 func netDialer(timeout time.Duration) dialFunc {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
-		dialer := net.Dialer{Timeout: timeout}
-		return dialer.DialContext(ctx, "tcp", addr)
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		results := make(chan dialResult, 1)
+		go func() {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+			results <- dialResult{conn, err}
+		}()
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
+		select {
+		case result := <-results:
+			return result.conn, result.err
+		case <-timer.C:
+		}
+		return endDial(results, cancel, addr)
+	}
+}
+
+// endDial returns the result of a dial whose time is over. A process that gets little of a processor may
+// notice that before it notices the connection, so what is ready runs first.
+func endDial(results <-chan dialResult, cancel func(), addr string) (net.Conn, error) {
+	for range dialYields {
+		runtime.Gosched()
+		select {
+		case result := <-results:
+			return result.conn, result.err
+		default:
+		}
+	}
+	cancel()
+	if result := <-results; result.err == nil {
+		return result.conn, nil
 	}
+	return nil, fmt.Errorf("dial %s: %w", addr, os.ErrDeadlineExceeded)
 }
 
 // connect opens a connection to a server. Dials that fail for lack of local resources are
