Fix: memory of a body that was read ahead is free for others as it is sent

Cause: what reading ahead had reserved was returned only once all of it had been sent, so that bodies that waited for memory waited for whole transfers.

Change: readAhead.take returns each piece of 64 KiB once all of it has been taken.

Result: TestTakenPartsAreReturnedToBudget (new; before, nothing is returned until the end).

--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -27,6 +27,7 @@
 	pieces   [][]byte
 	space    []byte // rest of the last piece
 	reserved int64  // of the budget
+	taken    int64  // bytes taken of the oldest piece that is reserved
 }
 
 // init prepares reading ahead.
@@ -87,9 +88,18 @@
 			a.pieces[0], a.pieces = nil, a.pieces[1:]
 		}
 	}
+	a.returnTaken(n)
 	return n
 }
 
+// returnTaken returns the memory of pieces of which all has been taken. The caller holds the lock.
+func (a *readAhead) returnTaken(n int) {
+	for a.taken += int64(n); a.taken >= readAheadPiece; a.taken -= readAheadPiece {
+		a.reserved -= readAheadPiece
+		a.budget.release(readAheadPiece)
+	}
+}
+
 // endTurn lets other bodies have the memory that is left.
 func (a *readAhead) endTurn() {
 	if a.budget != nil {
--- a/internal/front/readahead_test.go
+++ b/internal/front/readahead_test.go
@@ -255,3 +255,32 @@
 		})
 	}
 }
+
+// What an attempt has taken of a body that was read ahead is free for other bodies.
+func TestTakenPartsAreReturnedToBudget(t *testing.T) {
+	const pieces = 4
+	bodies := newBodyReader(pieces*readAheadPiece, nil)
+	var ahead readAhead
+	ahead.init(bodies)
+	for range pieces {
+		for left := readAheadPiece; left > 0; left -= readAheadPiece / 2 {
+			ahead.grow()
+			ahead.add(readAheadPiece / 2)
+		}
+	}
+	if left := bodies.budget.Load(); left != 0 {
+		t.Fatalf("%d bytes left", left)
+	}
+	ahead.stop()
+	taken, buffer := 0, make([]byte, 10_000)
+	for n := ahead.take(buffer); n > 0; n = ahead.take(buffer) {
+		taken += n
+		if left := bodies.budget.Load(); left != int64(taken/readAheadPiece*readAheadPiece) {
+			t.Fatalf("%d bytes left after %d were taken", left, taken)
+		}
+	}
+	ahead.release()
+	if left := bodies.budget.Load(); left != pieces*readAheadPiece || taken != pieces*readAheadPiece {
+		t.Errorf("%d bytes left, %d taken", left, taken)
+	}
+}
