Fix: failed accepts are repeated at once, so that a crowd is accepted in time

Cause: each failed accept was followed by a pause of 1 to 5 ms. Where a part of the calls fails while hundreds of clients wait, as after a restart, the queue moved by some hundred connections a second, and a client's request waited in it until its time was over.

Change: up to 16 failures in a row are repeated without a pause; after that as before, so a lasting lack of descriptors does not keep a core busy.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	minRetryDelay = time.Millisecond     // after a failed accept; doubles each time
+	promptRetries = 16                   // failed accepts in a row that are repeated at once
+	minRetryDelay = time.Millisecond     // after further ones; doubles each time
 	maxRetryDelay = 5 * time.Millisecond // kept short because clients are waiting
 	logInterval   = time.Second          // between two log lines about failed accepts
 )
@@ -39,10 +40,12 @@
 	return &Listener{Listener: l, onError: onError, closed: make(chan struct{})}
 }
 
-// Accept waits for a connection and retries failed accepts within milliseconds. The error
-// is net.ErrClosed after Close, or os.ErrDeadlineExceeded.
+// Accept waits for a connection and retries failed accepts, the first ones at once: the failure may
+// be that of one connection, and hundreds may wait behind it. The error is net.ErrClosed after Close, or
+// os.ErrDeadlineExceeded.
 func (l *Listener) Accept() (net.Conn, error) {
-	for pause := minRetryDelay; ; pause = min(2*pause, maxRetryDelay) {
+	pause := minRetryDelay
+	for failures := 1; ; failures++ {
 		nc, err := l.Listener.Accept()
 		switch {
 		case err == nil:
@@ -53,11 +56,15 @@
 			return nil, err
 		}
 		l.report(err)
+		if failures <= promptRetries {
+			continue
+		}
 		select {
 		case <-l.closed:
 			return nil, net.ErrClosed
 		case <-time.After(pause):
 		}
+		pause = min(2*pause, maxRetryDelay)
 	}
 }
 
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -78,3 +78,35 @@
 		t.Error(err)
 	}
 }
+
+// Guards against serving clients late because each failed accept was followed by a pause while hundreds of
+// clients waited.
+func TestCrowdIsAcceptedSoonAlthoughAcceptsFail(t *testing.T) {
+	const clients, failuresEach, limit = 300, 4, 300 * time.Millisecond
+	inner := nodetest.NewFailingListener(t, clients*failuresEach)
+	l := New(inner, nil)
+	defer l.Close()
+	for range clients {
+		dialled, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer dialled.Close()
+	}
+	var took time.Duration
+	for range clients {
+		for range failuresEach {
+			inner.Errors <- syscall.ECONNABORTED
+		}
+		start := time.Now()
+		accepted, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		took += time.Since(start)
+		accepted.Close()
+	}
+	if took > limit {
+		t.Errorf("%d clients were accepted in %v", clients, took)
+	}
+}
