Soak: servers that write a body long after its head, and an oracle for answers cut off

Change: fault late-body (a part of some servers' answers, 0.1 to 1.2 s), drawn by a generator of its own so that the other faults of a seed stay the same; the stand-in records a connection that ends before its late body is written; holds.CutOffAnswers names answers that a node ended in the client's time and replaced by a refusal or failure.

--- a/internal/lab/clipserver/server.go
+++ b/internal/lab/clipserver/server.go
@@ -45,7 +45,8 @@
 	timer       *alarm.Timer
 	jobs        map[uint64]*conn
 	nextID      uint64
-	corrupt     func() bool // whether to corrupt the next answer
+	corrupt     func() bool          // whether to corrupt the next answer
+	bodyDelay   func() time.Duration // how long after its head the next answer's body is written
 	incarnation int
 	isolated    bool
 	closed      bool
@@ -73,6 +74,7 @@
 	job         uint64 // the job that it waits for; 0: none
 	try         string
 	method      string
+	lateBody    string // the try whose answer's body is still to be written; empty: none
 }
 
 // New makes a server whose process is running and warm.
@@ -264,6 +266,9 @@
 	if !c.overLimit {
 		s.Model.Disconnect()
 	}
+	if c.lateBody != "" {
+		s.Record(history.Event{At: s.Clock(), Kind: history.BodyCutOff, Try: c.lateBody, Node: c.endpoint.node, Server: s.Model.Name})
+	}
 	s.Record(history.Event{At: s.Clock(), Kind: history.Disconnect, Node: c.endpoint.node, Server: s.Model.Name})
 	if c.job != 0 {
 		delete(s.jobs, c.job)
@@ -299,7 +304,7 @@
 			c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nnot all of i"))
 			c.Close()
 		default:
-			c.reply(http.StatusOK, "", AnswerBody(s.Model.Name, done.Try))
+			s.answer(c, now, done.Try)
 		}
 	}
 	if t, any := s.Model.NextCompletion(); any {
@@ -307,6 +312,30 @@
 	}
 }
 
+// answer writes the answer to a try that has run, its body perhaps later. The caller holds the lock.
+func (s *Server) answer(c *conn, now time.Duration, try string) {
+	body := AnswerBody(s.Model.Name, try)
+	delay := time.Duration(0)
+	if s.bodyDelay != nil {
+		delay = s.bodyDelay()
+	}
+	if delay <= 0 {
+		c.reply(http.StatusOK, "", body)
+		return
+	}
+	s.Record(history.Event{At: now, Kind: history.LateBody, Try: try, Node: c.endpoint.node, Server: s.Model.Name})
+	c.lateBody = try
+	c.SetWriteDeadline(time.Time{})
+	fmt.Fprintf(c.Conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+	time.AfterFunc(delay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if _, err := io.WriteString(c.Conn, body); err == nil {
+			c.lateBody = ""
+		}
+	})
+}
+
 // AnswerBody returns the body of a server's answer to a try. Clients check it to detect an answer to
 // another try.
 func AnswerBody(server, try string) string { return "clip " + try + " by " + server + "\n" }
@@ -399,12 +428,20 @@
 	defer s.mu.Unlock()
 	s.Record(history.Event{At: s.Clock(), Kind: history.IdleConnectionsClosed, Server: s.Model.Name})
 	for c := range s.conns {
-		if c.job == 0 {
+		if c.job == 0 && c.lateBody == "" {
 			c.Close()
 		}
 	}
 }
 
+// DelayBodies has choose decide before each answer how long after its head its body is written; nil ends
+// that.
+func (s *Server) DelayBodies(choose func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodyDelay = choose
+}
+
 // CorruptAnswers has choose decide before each answer whether to corrupt it; nil ends that.
 func (s *Server) CorruptAnswers(choose func() bool) {
 	s.mu.Lock()
--- a/internal/lab/clipserver/server_test.go
+++ b/internal/lab/clipserver/server_test.go
@@ -285,6 +285,32 @@
 	r.waitFor(history.AnswerCorrupted, 1)
 }
 
+// A late body follows its head, unless the connection ends before.
+func TestLateBodyFollowsItsHead(t *testing.T) {
+	r := newFixture(t, nil)
+	const delay = 100 * time.Millisecond
+	r.DelayBodies(func() time.Duration { return delay })
+	start := time.Now()
+	if _, body, err := r.dial().do("t1", "", time.Millisecond); err != nil || body != AnswerBody("s", "t1") {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if took := time.Since(start); took < delay {
+		t.Errorf("the body came after %v", took)
+	}
+	c := r.dial()
+	c.send("t2", "", time.Millisecond)
+	r.waitFor(history.LateBody, 2)
+	c.Close()
+	r.waitFor(history.BodyCutOff, 1)
+	r.DelayBodies(nil)
+	if _, _, err := r.dial().do("t3", "", time.Millisecond); err != nil {
+		t.Errorf("afterwards: %v", err)
+	}
+	if got := len(r.waitFor(history.BodyCutOff, 1)); got != 1 {
+		t.Errorf("%d bodies cut off", got)
+	}
+}
+
 func TestOverloadedColdServerGoesDown(t *testing.T) {
 	r := newFixture(t, nil)
 	if err := r.Start(true); err != nil {
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -132,6 +132,8 @@
 	NodeResumed           Kind = "node-cont"      // Node: its process continues
 	PeerMessage           Kind = "message"        // Node, Bytes: a datagram to one receiver
 	AnswerCorrupted       Kind = "spoilt"         // Try, Server: its answer is corrupted by a fault
+	LateBody              Kind = "late-body"      // Try, Node, Server: the head of its answer is written, its body follows later
+	BodyCutOff            Kind = "cut-off"        // Try, Node, Server: the connection ended before the late body was written
 	SlowRead              Kind = "slow"           // Try: its client reads the answer slowly
 	DiscoveryReset        Kind = "forgot"         // discovery restarted at a lower version
 	FaultStarted          Kind = "fault"          // Note: a fault of the scenario begins
--- a/internal/lab/holds/holds.go
+++ b/internal/lab/holds/holds.go
@@ -28,7 +28,7 @@
 	if s.Requirements.AllowPauseLoss {
 		filtered.Breaches = slices.DeleteFunc(slices.Clone(v.Breaches), func(b judge.Breach) bool { return LostDuringPause(s, b) })
 	}
-	out := BreachLines(&filtered)
+	out := append(BreachLines(&filtered), CutOffAnswers(s, h)...)
 	add := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
 	metrics := v.Service
 	if metrics.Measure < s.Requirements.MinMeasure {
@@ -216,6 +216,8 @@
 		}
 	case scenario.FaultCorrupt:
 		return atLeast(count(from, to, onServers(history.AnswerCorrupted)), 1, "spoilt answers")
+	case scenario.FaultLateBody:
+		return atLeast(count(from, to, onServers(history.LateBody)), 1, "late bodies")
 	case scenario.FaultSlowReader:
 		return atLeast(count(from, to+5*time.Second, func(e *history.Event) bool { return e.Kind == history.SlowRead }), 1, "slow readers")
 	case scenario.FaultDiscoveryOutage:
--- a/internal/lab/real/faults.go
+++ b/internal/lab/real/faults.go
@@ -91,6 +91,18 @@
 			b.mu.Unlock()
 			t.server.CorruptAnswers(func() bool { return rng.Float64() < f.Fraction })
 		}), each(func(t *slot) { t.server.CorruptAnswers(nil) })}
+	case scenario.FaultLateBody:
+		return action{each(func(t *slot) {
+			b.mu.Lock()
+			rng := rand.New(rand.NewPCG(b.rng.Uint64(), 1))
+			b.mu.Unlock()
+			t.server.DelayBodies(func() time.Duration {
+				if rng.Float64() >= f.Fraction {
+					return 0
+				}
+				return f.Delay.Duration
+			})
+		}), each(func(t *slot) { t.server.DelayBodies(nil) })}
 	case scenario.FaultDiscoveryOutage:
 		return action{func() { b.hosts.SetDown(true) }, func() { b.hosts.SetDown(false) }}
 	case scenario.FaultDiscoveryDelay:
--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -190,7 +190,8 @@
 	FaultSilent: {servers: true}, FaultHang: {servers: true}, FaultHeavy: {class: true, fraction: true, noTargets: true},
 	FaultZoneLost: {zones: true}, FaultZoneAndNodesLost: {zones: true}, FaultKill: {servers: true, nodes: true},
 	FaultRestart: {nodes: true}, FaultDrain: {servers: true}, FaultReplace: {servers: true},
-	FaultLink: {servers: true, nodes: true}, FaultCorrupt: {servers: true, fraction: true}, FaultSlowReader: {fraction: true, noTargets: true},
+	FaultLink: {servers: true, nodes: true}, FaultCorrupt: {servers: true, fraction: true}, FaultLateBody: {servers: true, fraction: true},
+	FaultSlowReader:      {fraction: true, noTargets: true},
 	FaultDiscoveryOutage: {noTargets: true}, FaultDiscoveryDelay: {noTargets: true}, FaultDiscoveryRestart: {noTargets: true}, FaultFlap: {servers: true},
 	FaultPause: {nodes: true}, FaultDiscoveryCut: {nodes: true}, FaultPeerLinks: {nodes: true},
 	FaultPartition: {nodes: true}, FaultJoin: {nodes: true}, FaultLeave: {nodes: true},
@@ -267,7 +268,7 @@
 		return "factor", "want factor = 1 to 1000, a multiple of the usual work"
 	case f.Kind == FaultFlap && f.Interval.Duration < 10*time.Millisecond:
 		return "every", "want every = \"500ms\" or so, 10ms at least"
-	case f.Kind == FaultDiscoveryDelay && f.Delay.Duration == 0:
+	case (f.Kind == FaultDiscoveryDelay || f.Kind == FaultLateBody) && f.Delay.Duration == 0:
 		return "delay", "want delay = how much later changes are notified"
 	case f.Kind != FaultPeerLinks && (len(f.Peers) > 0 || f.Direction != "" || f.Jitter.Duration > 0 || f.DuplicateFraction > 0):
 		return "", "to, way, jitter and double go with what = \"peers\"; remove them"
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -93,6 +93,7 @@
 	FaultReplace          = "replace"           // a server process is replaced under a new id at the same address
 	FaultLink             = "link"              // the links of a node or server change
 	FaultCorrupt          = "spoil"             // a fraction of a server's answers is corrupted
+	FaultLateBody         = "late-body"         // the bodies of a fraction of a server's answers come after a delay
 	FaultSlowReader       = "slow-reader"       // clients read their answers slowly
 	FaultDiscoveryOutage  = "discovery-outage"  // discovery is down
 	FaultDiscoveryDelay   = "discovery-lag"     // change notifications are delayed further
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -118,6 +118,7 @@
 	if b.ClockSteps {
 		g.addClockSteps()
 	}
+	g.addLateBodies()
 	if b.SystemCalls {
 		g.addCallFaults()
 	}
@@ -127,6 +128,17 @@
 	return g.scenario, deployment
 }
 
+// addLateBodies adds servers that write the bodies of some answers long after their heads.
+func (g *generator) addLateBodies() {
+	rng := rand.New(rand.NewPCG(uint64(g.scenario.Seed), 0x626f6479)) // of its own, so that the draws of the other kinds stay the same
+	drawn := generator{Rand: rng, scenario: g.scenario, bounds: g.bounds}
+	for range 1 + int(g.bounds.Length/(4*time.Second)) {
+		g.add(scenario.Fault{Kind: scenario.FaultLateBody, At: drawn.randomSpan(200*time.Millisecond, g.bounds.Length), For: drawn.randomSpan(time.Second, 4*time.Second),
+			Fraction: 0.05 + 0.45*rng.Float64(), Delay: drawn.randomSpan(100*time.Millisecond, 1200*time.Millisecond),
+			Targets: randomNames(&drawn, g.scenario.Servers(), func(x scenario.Server) string { return x.Name }, 3)})
+	}
+}
+
 // addClockSteps adds steps of the wall clocks of some machines, by seconds or by an hour.
 func (g *generator) addClockSteps() {
 	for range 2 + int(g.bounds.Length/(4*time.Second)) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ivylock/internal/lab/history"
+	"ivylock/internal/lab/holds"
 	"ivylock/internal/lab/judge"
 	"ivylock/internal/lab/real"
 	"ivylock/internal/lab/scenario"
@@ -75,6 +76,9 @@
 	for _, b := range v.Breaches {
 		r.add("%v", b)
 	}
+	for _, line := range holds.CutOffAnswers(r.Scenario, h) {
+		r.add("%s", line)
+	}
 	for i := range h.Events {
 		switch e := &h.Events[i]; e.Kind {
 		case history.NodeTerminating:
