Fix: a short answer whose body is still to come has the client's time, too

Cause: of the time limits of an attempt only the one for long bodies gave way once a server had written its head. A trial request, or one in a large fleet, whose server paused before a short body was cut off by the attempt's own limit, and its client refused, while it was waiting.

Change: OnPendingBody in place of OnLongBody: whenever a 200's body has not come with its head.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -28,6 +28,31 @@
 	return p
 }
 
+// The caller learns that a body is still to come, also of a short one, and of none that has come.
+func TestPendingBodyIsReported(t *testing.T) {
+	const body = "answer"
+	for pause, want := range map[time.Duration]int{0: 0, 100 * time.Millisecond: 1} {
+		b := nodetest.NewScriptedServer(t, func(c net.Conn, r *http.Request) bool {
+			head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+			if pause == 0 {
+				return nodetest.WriteResponse(c, "200 OK", body)
+			}
+			io.WriteString(c, head)
+			time.Sleep(pause)
+			_, err := io.WriteString(c, body)
+			return err == nil
+		})
+		p := newPool()
+		server := &Server{addr: b.Addr}
+		p.Add(server)
+		reported := 0
+		res := p.Exchange(context.Background(), server, Call{Request: NewRequest("GET", "/clip", nil), OnPendingBody: func() { reported++ }, OnStream: func(*Stream) {}})
+		if res.Code != balance.OK || string(res.Body) != body || reported != want {
+			t.Errorf("after %v: outcome %d, %q, reported %d times", pause, res.Code, res.Body, reported)
+		}
+	}
+}
+
 // Guards against telling a server a time limit that was computed long before the request is written.
 func TestRequestThatWasHeldUpIsPreparedAgain(t *testing.T) {
 	type received struct{ prepared, body string }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -48,9 +48,9 @@
 	MayWrite func() bool
 	// OnWritten is called once the last byte is written. From then on the request may run.
 	OnWritten func()
-	// OnLongBody is called when the head of a 200 response has come whose body may be too long to be
-	// buffered. It may extend the time of ctx.
-	OnLongBody func()
+	// OnPendingBody is called when the head of a 200 response has come, and not all of its body. It may
+	// extend the time of ctx.
+	OnPendingBody func()
 	// OnStream is called with a 200 response that is too long to be buffered. The receiver
 	// reads it to its end and calls its Done; the exchange lasts until then.
 	OnStream func(*Stream)
@@ -226,8 +226,8 @@
 		p.Memory.Hold(guard.Responses, size)
 	}
 	release = func() { p.Memory.Release(guard.Responses, size) }
-	if call.OnLongBody != nil && mayStream && response.MayBeLong() {
-		call.OnLongBody()
+	if call.OnPendingBody != nil && mayStream && !response.HasArrived() {
+		call.OnPendingBody()
 	}
 	return response, release, response.Buffer()
 }
--- a/internal/bounded/answer.go
+++ b/internal/bounded/answer.go
@@ -194,8 +194,10 @@
 	return nil, ErrMalformedResponse
 }
 
-// MayBeLong reports whether the body may be too long to be buffered.
-func (r *Response) MayBeLong() bool { return r.BodyLength < 0 || r.BodyLength > int64(r.maxBuffered) }
+// HasArrived reports whether all of the body has been read from the connection, as far as known.
+func (r *Response) HasArrived() bool {
+	return r.BodyLength >= 0 && int64(r.reader.buf.Buffered()) >= r.BodyLength
+}
 
 // BufferSize returns how many bytes Buffer may take.
 func (r *Response) BufferSize() int64 {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -159,9 +159,9 @@
 				a.timer.reset(r.BodyStream.Deadline())
 			}
 		},
-		// The client's time limits the first bytes of a long answer, not an earlier time limit of the
-		// attempt: the server is writing.
-		OnLongBody: func() { a.timer.reset(r.finalDeadline()) },
+		// The client's time limits the body, not an earlier time limit of the attempt: the server is
+		// writing.
+		OnPendingBody: func() { a.timer.reset(r.finalDeadline()) },
 		OnStream: func(s *backend.Stream) {
 			a.timer.stop() // a streamed response has no further time limit
 			if !n.post(responseStarted{a, s, time.Since(a.sentAt)}) {
